--- a/src/main/java/pondridge/sidecar/Config.java
+++ b/src/main/java/pondridge/sidecar/Config.java
@@ -12,10 +12,11 @@
 import java.util.Map;
 import java.util.StringJoiner;
 import pondridge.Options;
+import pondridge.sidecar.admin.AdminServer;
 
 /** What one sidecar is told at its start; a mistake is an exception whose message names the key. */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        Discovery.Listing known, Options options) {
+record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
+        long seed, int sockets, Discovery.Listing known, Options options) {
     static final ObjectMapper JSON = new ObjectMapper();
     private static final int FEWEST_SOCKETS = 64;
     private static final int RESERVED = 40;
@@ -43,7 +44,7 @@
         }
         Discovery.Listing known = root.has("known") ? Discovery.Listing.of(root.get("known"))
                 : Discovery.Listing.NONE;
-        return new Config(root.path("name").asText("sidecar"), address(root, "listen"),
+        return new Config(root.path("name").asText("sidecar"), address(root, "listen"), admin(root),
                 address(root, "discovery"), seed(root), sockets, known, options);
     }
 
@@ -52,9 +53,26 @@
         return sockets * 3 / 8;
     }
 
-    /** The rest, but for what the JVM, the listening and discovery hold. */
+    /** The rest, but for what the JVM, the listening, discovery and operators hold. */
     int mostUpstream() {
-        return Math.max(sockets / 4, sockets - mostClients() - RESERVED);
+        int operators = admin == null ? 0 : AdminServer.MOST_CONNECTIONS;
+        return Math.max(sockets / 4, sockets - mostClients() - RESERVED - operators);
+    }
+
+    /** Where operators call: the file's word, else the environment's; null if nobody has said. */
+    private static InetSocketAddress admin(JsonNode root) {
+        if (root.has("admin")) {
+            return address(root, "admin");
+        }
+        String given = System.getenv().getOrDefault("PROXY_ADMIN", "");
+        if (given.isEmpty()) {
+            return null;
+        }
+        InetSocketAddress address = parseAddress(given);
+        if (address == null) {
+            throw new IllegalArgumentException("not an address and port: PROXY_ADMIN");
+        }
+        return address;
     }
 
     private static InetSocketAddress address(JsonNode root, String key) {
--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -50,6 +50,7 @@
 import pondridge.Balancer.RequestClass;
 import pondridge.Balancer.Semantics;
 import pondridge.Options;
+import pondridge.sidecar.lifecycle.Lifecycle;
 
 /**
  * The application's side: reads requests, answers each once, and tells malformed ones so itself. A client
@@ -73,6 +74,8 @@
     private static final long ID_TIME = 2_000_000_000L;
     /** A new connection's request comes at once; one that is silent for longer makes room first. */
     private static final long SILENT_TIME = 100_000_000;
+    /** A connection made while the sidecar empties is given so long for its request. */
+    private static final long FIRST_TIME = 300_000_000;
     private static final long SWEEP_MS = 100;
 
     /** Where a connection is. Those before {@link #ASKED} may make room for others, the first one first. */
@@ -88,19 +91,19 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final Set<String> ids = new HashSet<>();
     private final ArrayDeque<Past> past = new ArrayDeque<>();
-    private boolean ready;
-    private boolean draining;
+    private final Lifecycle lifecycle;
     private Channel server;
 
-    Frontend(Engine engine, Options options, int mostConnections) {
+    Frontend(Engine engine, Options options, int mostConnections, Lifecycle lifecycle) {
         this.engine = engine;
+        this.lifecycle = lifecycle;
         this.classes = options.settings().classes();
         this.classNames = options.names("profiles");
         this.tenantNames = options.names("parties");
         this.mostConnections = mostConnections;
     }
 
-    /** Listens; requests are answered at once, {@code /up} says 200 after {@link #ready}. */
+    /** Listens; requests are answered at once, {@code /up} says 200 while the sidecar takes clients. */
     ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024)
@@ -124,27 +127,9 @@
         return bound;
     }
 
-    void ready() {
-        ready = true;
-    }
-
-    /**
-     * From now on each answer ends its connection, and so do those that wait for none: a request that crosses
-     * such an end is sent again on a new connection, and new ones still get in.
-     */
-    void drain() {
-        draining = true;
-        for (Connection connection : List.copyOf(connections)) {
-            if (connection.stage == Stage.IDLE || connection.stage == Stage.NEW) {
-                connection.channel.close();
-            }
-        }
-    }
-
-    /** Ends the listening as well. */
+    /** Ends the listening; connections that are open go on. */
     void close() {
         server.close();
-        drain();
     }
 
     /** Whether no client is connected any more. */
@@ -235,6 +220,11 @@
         }
 
         private void checkTime(long now) {
+            if (stage.compareTo(Stage.READING) < 0 && stage != Stage.LINGERING && lifecycle.closesIdle()
+                    && now - since > FIRST_TIME) {
+                channel.close();
+                return;
+            }
             long limit = switch (stage) {
                 case LINGERING -> LINGER_TIME;
                 case IDLE -> IDLE_TIME;
@@ -320,8 +310,8 @@
         /** The request is whole. */
         private void end() {
             if (job == null) {
-                boolean up = ready && !draining;
-                answer(plain(up ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, ""));
+                answer(plain(lifecycle.takesClients() ? HttpResponseStatus.OK
+                        : HttpResponseStatus.SERVICE_UNAVAILABLE, ""));
                 return;
             }
             if (!ids.add(id)) {
@@ -365,7 +355,8 @@
         private void answer(FullHttpResponse response) {
             forget();
             enter(Stage.ANSWERED);
-            boolean keep = keepAlive && !draining;
+            // A request that has been read already must be answered before the connection may end.
+            boolean keep = keepAlive && (!lifecycle.emptying() || !waiting.isEmpty());
             HttpUtil.setContentLength(response, response.content().readableBytes());
             if (!keep) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import pondridge.Balancer.RequestClass;
+import pondridge.sidecar.admin.AdminServer;
+import pondridge.sidecar.lifecycle.Lifecycle;
 
 /** Entry point of the real sidecar: configuration, start, and an orderly end at SIGTERM. */
 public final class Main {
@@ -91,25 +93,34 @@
 
     private static void start(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config,
             boolean rehearsal, CompletableFuture<Consumer<Config>> running) {
+        Lifecycle lifecycle = new Lifecycle();
         Engine engine = new Engine(loop, config, config.sockets() / 2);
-        Frontend frontend = new Frontend(engine, config.options(), config.mostClients());
+        Frontend frontend = new Frontend(engine, config.options(), config.mostClients(), lifecycle);
         engine.start(config.known());
         running.complete(read -> loop.execute(() -> engine.reconfigure(read)));
-        ChannelFuture bound = frontend.listen(group, config.listen());
+        if (config.admin() != null) {
+            onceBound(new AdminServer(lifecycle).listen(group, config.admin()), "admin", at -> { });
+        }
+        onceBound(frontend.listen(group, config.listen()), "listen", at -> {
+            endAtSigterm(loop, config, engine, frontend, lifecycle);
+            WarmUp.run(loop, config.options(), at, rehearsal ? Main::end : () -> ready(config, lifecycle));
+        });
+    }
+
+    /** A sidecar that can't listen is of no use: it ends, so that whoever started it sees so. */
+    private static void onceBound(ChannelFuture bound, String key, Consumer<InetSocketAddress> next) {
         bound.addListener(done -> {
             if (done.isSuccess()) {
-                endAtSigterm(loop, config, engine, frontend);
-                WarmUp.run(loop, config.options(), (InetSocketAddress) bound.channel().localAddress(),
-                        rehearsal ? Main::end : () -> ready(config, frontend));
+                next.accept((InetSocketAddress) bound.channel().localAddress());
             } else {
-                System.err.println("pondridge: listen: " + done.cause().getMessage());
+                System.err.println("pondridge: " + key + ": " + done.cause().getMessage());
                 Runtime.getRuntime().halt(1);
             }
         });
     }
 
-    private static void ready(Config config, Frontend frontend) {
-        frontend.ready();
+    private static void ready(Config config, Lifecycle lifecycle) {
+        lifecycle.started();
         System.err.println("pondridge: " + config.name() + " ready at " + config.listen());
     }
 
@@ -119,12 +130,13 @@
     }
 
     /** The hook holds the process until all is answered, or as long as the longest request may take. */
-    private static void endAtSigterm(EventLoop loop, Config config, Engine engine, Frontend frontend) {
+    private static void endAtSigterm(EventLoop loop, Config config, Engine engine, Frontend frontend,
+            Lifecycle lifecycle) {
         long longest = config.options().settings().classes().stream()
                 .mapToLong(RequestClass::deadline).max().orElse(0) / 1_000_000;
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             CountDownLatch done = new CountDownLatch(1);
-            loop.execute(frontend::drain);
+            loop.execute(lifecycle::end);
             loop.schedule(frontend::close, ACCEPT_MS, TimeUnit.MILLISECONDS);
             loop.scheduleWithFixedDelay(() -> {
                 if (frontend.empty() && engine.idle()) {
--- a/src/test/java/pondridge/sidecar/Bed.java
+++ b/src/test/java/pondridge/sidecar/Bed.java
@@ -12,6 +12,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import pondridge.sidecar.admin.AdminServer;
+import pondridge.sidecar.lifecycle.Lifecycle;
 
 /** A sidecar in this process, with its upstreams known from the start, and a client for it. */
 final class Bed implements AutoCloseable {
@@ -21,9 +23,11 @@
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     final EventLoop loop = group.next();
+    final Lifecycle lifecycle = new Lifecycle();
     final Frontend frontend;
     final Engine engine;
     final InetSocketAddress address;
+    final InetSocketAddress admin;
 
     /** An answer as the client saw it. */
     record Answer(int status, String head, String body) { }
@@ -31,9 +35,11 @@
     Bed(ObjectNode json) throws Exception {
         Config config = Config.of(json);
         engine = new Engine(loop, config, MOST);
-        frontend = new Frontend(engine, config.options(), MOST);
+        frontend = new Frontend(engine, config.options(), MOST, lifecycle);
         loop.submit(() -> engine.start(config.known())).sync();
         address = (InetSocketAddress) frontend.listen(group, config.listen()).sync().channel().localAddress();
+        admin = (InetSocketAddress) new AdminServer(lifecycle)
+                .listen(group, new InetSocketAddress("127.0.0.1", 0)).sync().channel().localAddress();
     }
 
     static Bed with(Stub... upstreams) throws Exception {
