--- a/src/main/java/pondridge/Balancer.java
+++ b/src/main/java/pondridge/Balancer.java
@@ -249,6 +249,9 @@
     /** A probe's result. */
     default void probeResult(long now, long upstream, Outcome outcome, long elapsed, float[] load) { }
 
+    /** How many ready upstreams are now avoided for what was seen of them. Changes nothing. */
+    int avoided(long now);
+
     /** A message from another sidecar of this tier. */
     default void peerMessage(long now, int from, byte[] message) { }
 
--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -106,6 +106,11 @@
         alarms.flush();
     }
 
+    @Override
+    public int avoided(long now) {
+        return (int) roster.ready.stream().filter(server -> health.shutToAll(now, server)).count();
+    }
+
     /** The order, the pointer and the pick. */
     private final class Pattern {
         private final List<Server> order = new ArrayList<>();
@@ -614,9 +619,7 @@
 
         boolean open(long now, Server server, Call call) {
             integrate(now, server);
-            boolean closed = server.connectFailures > 0
-                    || current(server) > SLOW && current(server) * call.expected > USELESS * call.aim;
-            if (!closed) {
+            if (!shut(server, current(server), call.expected, call.aim)) {
                 server.nextTrial = 0;
                 return true;
             }
@@ -627,9 +630,29 @@
             return now >= server.nextTrial;
         }
 
+        private boolean shut(Server server, double slow, double expected, double aim) {
+            return server.connectFailures > 0 || slow > SLOW && slow * expected > USELESS * aim;
+        }
+
+        /** For operators: whether every class avoids it, but for trials. */
+        boolean shutToAll(long now, Server server) {
+            double exposure = server.exposure + server.load * (now - server.integratedAt);
+            for (int i = 0; i < usual.length; i++) {
+                double aim = settings.classes().get(i).aim();
+                if (!shut(server, slowness(server, exposure), usual[i].mean, aim)) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
         /** How many times slower than usual it answers; two answers are taken for granted. */
         private double current(Server server) {
-            return (server.exposure + 2) / (server.heard + 2);
+            return slowness(server, server.exposure);
+        }
+
+        private double slowness(Server server, double exposure) {
+            return (exposure + 2) / (server.heard + 2);
         }
 
         void ended(long now, Attempt attempt, Outcome outcome, Call call) {
--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -23,12 +23,14 @@
 import pondridge.Balancer.State;
 import pondridge.Balancer.Upstream;
 import pondridge.Rules;
+import pondridge.sidecar.metrics.ClassCounts;
+import pondridge.sidecar.metrics.Metrics;
 
 /**
  * The only caller of the module: tells it events one after the other, on the event loop, and carries out what
  * it orders. Whatever module and upstreams do, a request gets one final answer and a send one outcome.
  */
-final class Engine implements Balancer.Actions {
+final class Engine implements Balancer.Actions, Metrics.Gauges {
     /** What of a client's wait is kept for the answer's way back; the module does not know of it. */
     private static final long ANSWER_ROOM = 10_000_000;
 
@@ -58,15 +60,17 @@
     private static final class Call {
         private final Job job;
         private final Client client;
+        private final ClassCounts counts;
         private long deadline;
         private final List<Upstreams.Attempt> attempts = new ArrayList<>(1);
         private Future<?> timer;
         private int out;
         private boolean over;
 
-        Call(Job job, Client client) {
+        Call(Job job, Client client, ClassCounts counts) {
             this.job = job;
             this.client = client;
+            this.counts = counts;
         }
     }
 
@@ -74,6 +78,8 @@
     private final Balancer rules;
     private final int tryLimit;
     private final int mostOpen;
+    private final Metrics metrics;
+    private final List<String> classNames;
     private final Upstreams upstreams;
     private final Discovery discovery;
     private final Map<Long, Call> calls = new HashMap<>();
@@ -85,12 +91,15 @@
     private boolean telling;
     private long lastId;
 
-    Engine(EventLoop loop, Config config, int mostOpen) {
+    Engine(EventLoop loop, Config config, int mostOpen, Metrics metrics) {
         Balancer.Settings settings = config.options().settings();
         this.loop = loop;
         this.rules = new Rules(settings, config.seed(), this);
         this.tryLimit = settings.allowed().tryLimit();
         this.mostOpen = mostOpen;
+        this.metrics = metrics;
+        this.classNames = config.options().names("profiles");
+        metrics.show(classNames);
         this.upstreams = new Upstreams(loop, config.options(), config.mostUpstream());
         this.discovery = new Discovery(loop, config.discovery(), config.known().rev(), this::listed);
         config.options().list("zones").forEach(zone -> number(zones, zone));
@@ -164,17 +173,18 @@
 
     /** Takes a request; returns the number under which {@link #hangup} knows it. */
     long submit(Job job, Client client) {
+        ClassCounts counts = metrics.of(classNames.get(job.requestClass()));
         if (calls.size() >= mostOpen) {
+            counts.refused();
             client.refused(0);
             return 0;
         }
         long id = ++lastId;
         long left = Math.max(1, job.waitMs() * 1_000_000 - ANSWER_ROOM);
-        Call call = new Call(job, client);
+        Call call = new Call(job, client, counts);
         calls.put(id, call);
         // The module answers by its own deadline; this holds for whatever it may have missed.
-        call.timer = loop.schedule(() -> finish(id, call, client::failed), left + ANSWER_ROOM / 2,
-                TimeUnit.NANOSECONDS);
+        call.timer = loop.schedule(() -> fail(id), left + ANSWER_ROOM / 2, TimeUnit.NANOSECONDS);
         tell(now -> {
             call.deadline = now + left;
             rules.request(now, new Request(id, job.requestClass(), job.tenant(), job.key(), left,
@@ -192,9 +202,19 @@
         }
     }
 
-    /** Whether any request still waits for its answer. */
-    boolean idle() {
-        return calls.values().stream().allMatch(call -> call.over);
+    @Override
+    public long active() {
+        return calls.values().stream().filter(call -> !call.over).count();
+    }
+
+    @Override
+    public long poolSize() {
+        return upstreams.listed();
+    }
+
+    @Override
+    public long poolEjected() {
+        return rules.avoided(now());
     }
 
     private void finish(long id, Call call, Runnable answer) {
@@ -231,9 +251,18 @@
             wait = Math.min(wait, timeout);
         }
         call.attempts.add(null);
-        call.attempts.set(number, upstreams.send(upstream, message(call.job, wait), wait,
-                (outcome, answer, load) ->
-                        ended(request, call, number, upstream, now, outcome, answer, load)));
+        Upstreams.Listener listener = new Upstreams.Listener() {
+            @Override
+            public void written() {
+                call.counts.tried();
+            }
+
+            @Override
+            public void ended(Outcome outcome, Answer answer, float[] load) {
+                Engine.this.ended(request, call, number, upstream, now, outcome, answer, load);
+            }
+        };
+        call.attempts.set(number, upstreams.send(upstream, message(call.job, wait), wait, listener));
     }
 
     private static FullHttpRequest message(Job job, long wait) {
@@ -252,7 +281,10 @@
         tell(now -> {
             call.out--;
             if (outcome == Outcome.OK) {
-                finish(id, call, () -> call.client.served(answer));
+                finish(id, call, () -> {
+                    call.counts.served();
+                    call.client.served(answer);
+                });
             }
             rules.outcome(now, id, number, upstream, outcome, now - sentAt, call.over, load);
             forget(id, call);
@@ -263,7 +295,10 @@
     public void refuse(long request, long wait) {
         Call call = calls.get(request);
         if (call != null) {
-            finish(request, call, () -> call.client.refused(wait));
+            finish(request, call, () -> {
+                call.counts.refused();
+                call.client.refused(wait);
+            });
         }
     }
 
@@ -271,7 +306,10 @@
     public void fail(long request) {
         Call call = calls.get(request);
         if (call != null) {
-            finish(request, call, call.client::failed);
+            finish(request, call, () -> {
+                call.counts.failed();
+                call.client.failed();
+            });
         }
     }
 
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -15,6 +15,7 @@
 import pondridge.Balancer.RequestClass;
 import pondridge.sidecar.admin.AdminServer;
 import pondridge.sidecar.lifecycle.Lifecycle;
+import pondridge.sidecar.metrics.Metrics;
 
 /** Entry point of the real sidecar: configuration, start, and an orderly end at SIGTERM. */
 public final class Main {
@@ -24,6 +25,11 @@
     private static final long SPARE_MS = 600;
     private static final long POLL_MS = 20;
 
+    /** Takes what SIGHUP has read: a configuration, or what is wrong with the file. */
+    private interface Reload {
+        void read(Config config, Exception fault);
+    }
+
     private Main() { }
 
     /**
@@ -33,7 +39,7 @@
      */
     public static void main(String[] args) {
         String file = System.getenv("PROXY_CONFIG");
-        CompletableFuture<Consumer<Config>> running = new CompletableFuture<>();
+        CompletableFuture<Reload> running = new CompletableFuture<>();
         reloadAtSighup(file, running);
         Config config;
         try {
@@ -56,14 +62,14 @@
      * Left to itself the JVM ends at SIGHUP. It calls this handler on a thread of its own, so reading the
      * file holds nobody up; one that comes before the start is over waits for it. A bad file changes nothing.
      */
-    private static void reloadAtSighup(String file, CompletableFuture<Consumer<Config>> running) {
+    private static void reloadAtSighup(String file, CompletableFuture<Reload> running) {
         onSighup(() -> {
-            Consumer<Config> takeOver = running.join();
+            Reload reload = running.join();
             synchronized (running) {
                 try {
-                    takeOver.accept(Config.read(Path.of(file)));
+                    reload.read(Config.read(Path.of(file)), null);
                 } catch (IllegalArgumentException | IOException e) {
-                    System.err.println("pondridge: new configuration not taken: " + e.getMessage());
+                    reload.read(null, e);
                 }
             }
         });
@@ -91,15 +97,29 @@
         }
     }
 
+    /** On the loop, like all that counts. */
+    private static void reconfigure(Engine engine, Metrics metrics, Config read, Exception fault) {
+        if (fault != null) {
+            metrics.configRejected();
+            System.err.println("pondridge: new configuration not taken: " + fault.getMessage());
+            return;
+        }
+        engine.reconfigure(read);
+        metrics.configApplied();
+        System.err.println("pondridge: new configuration taken");
+    }
+
     private static void start(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config,
-            boolean rehearsal, CompletableFuture<Consumer<Config>> running) {
+            boolean rehearsal, CompletableFuture<Reload> running) {
         Lifecycle lifecycle = new Lifecycle();
-        Engine engine = new Engine(loop, config, config.sockets() / 2);
+        Metrics metrics = new Metrics();
+        Engine engine = new Engine(loop, config, config.sockets() / 2, metrics);
         Frontend frontend = new Frontend(engine, config.options(), config.mostClients(), lifecycle);
         engine.start(config.known());
-        running.complete(read -> loop.execute(() -> engine.reconfigure(read)));
+        running.complete((read, fault) -> loop.execute(() -> reconfigure(engine, metrics, read, fault)));
         if (config.admin() != null) {
-            onceBound(new AdminServer(lifecycle).listen(group, config.admin()), "admin", at -> { });
+            AdminServer admin = new AdminServer(lifecycle, () -> metrics.text(engine));
+            onceBound(admin.listen(group, config.admin()), "admin", at -> { });
         }
         onceBound(frontend.listen(group, config.listen()), "listen", at -> {
             endAtSigterm(loop, config, engine, frontend, lifecycle);
@@ -139,7 +159,7 @@
             loop.execute(lifecycle::end);
             loop.schedule(frontend::close, ACCEPT_MS, TimeUnit.MILLISECONDS);
             loop.scheduleWithFixedDelay(() -> {
-                if (frontend.empty() && engine.idle()) {
+                if (frontend.empty() && engine.active() == 0) {
                     done.countDown();
                 }
             }, ACCEPT_MS, POLL_MS, TimeUnit.MILLISECONDS);
--- a/src/main/java/pondridge/sidecar/Upstreams.java
+++ b/src/main/java/pondridge/sidecar/Upstreams.java
@@ -59,8 +59,12 @@
     private static final String LOAD_PATH = "/metrics/load";
     private static final float[] NO_REPORT = {};
 
-    /** How an attempt ended; {@code answer} is there for {@link Outcome#OK} alone. */
+    /** What becomes of an attempt. */
     interface Listener {
+        /** Its last byte has been written: from now on it may have run. */
+        default void written() { }
+
+        /** How it ended; {@code answer} is there for {@link Outcome#OK} alone. */
         void ended(Outcome outcome, Engine.Answer answer, float[] load);
     }
 
@@ -141,6 +145,11 @@
         send(upstream, request, PROBE_TIMEOUT, listener);
     }
 
+    /** How many upstreams are listed. */
+    int listed() {
+        return pools.size();
+    }
+
     /** Closes the idle connections to an upstream. */
     void closeIdle(long upstream) {
         Pool pool = pools.get(upstream);
@@ -371,6 +380,7 @@
             channel.writeAndFlush(attempt.request).addListener(done -> {
                 if (done.isSuccess()) {
                     attempt.written = true;
+                    attempt.listener.written();
                     pool.unwritten.remove(attempt);
                 } else {
                     attempt.broken();
--- a/src/main/java/pondridge/sidecar/admin/AdminCalls.java
+++ b/src/main/java/pondridge/sidecar/admin/AdminCalls.java
@@ -19,9 +19,10 @@
 
     private final Map<String, Call> calls;
 
-    AdminCalls(Lifecycle lifecycle) {
+    AdminCalls(Lifecycle lifecycle, Supplier<String> figures) {
         calls = Map.of(
                 "/_ready", new Call(HttpMethod.GET, () -> ready(lifecycle)),
+                "/_vars", new Call(HttpMethod.GET, () -> new Reply(HttpResponseStatus.OK, figures.get())),
                 "/_lameduck/on", new Call(HttpMethod.POST, () -> lameDuck(lifecycle, true)),
                 "/_lameduck/off", new Call(HttpMethod.POST, () -> lameDuck(lifecycle, false)));
     }
--- a/src/main/java/pondridge/sidecar/admin/AdminServer.java
+++ b/src/main/java/pondridge/sidecar/admin/AdminServer.java
@@ -31,6 +31,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import pondridge.sidecar.lifecycle.Lifecycle;
 
 /**
@@ -49,9 +50,9 @@
     private final AdminCalls calls;
     private final Set<Channel> connections = new LinkedHashSet<>();
 
-    /** Calls are answered on the loop that the channels are given. */
-    public AdminServer(Lifecycle lifecycle) {
-        this.calls = new AdminCalls(lifecycle);
+    /** Calls are answered, and {@code figures} asked, on the loop that the channels are given. */
+    public AdminServer(Lifecycle lifecycle, Supplier<String> figures) {
+        this.calls = new AdminCalls(lifecycle, figures);
     }
 
     /** Listens from now on. */
--- a/src/test/java/pondridge/sidecar/AdminTest.java
+++ b/src/test/java/pondridge/sidecar/AdminTest.java
@@ -3,10 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** The operators' door of a running sidecar. */
@@ -54,6 +56,92 @@
         }
     }
 
+    /** The figures of a sidecar, as an operator fetches them. */
+    private static String vars(Bed bed) throws Exception {
+        try (Bed.Client client = new Bed.Client(bed.admin)) {
+            Bed.Answer answer = client.ask(call("GET", "/_vars"));
+            assertEquals(200, answer.status());
+            return answer.body();
+        }
+    }
+
+    /** Waits until a figure has a value: an attempt counts once the system has taken its last byte. */
+    private static void await(Bed bed, String line) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Stub.LIMIT_S);
+        String seen = vars(bed);
+        while (seen.lines().noneMatch(line::equals)) {
+            assertTrue(System.nanoTime() < end, line + " never came: " + seen);
+            Thread.sleep(10);
+            seen = vars(bed);
+        }
+    }
+
+    @Test
+    void everyFigureShowsFromNoughtAndCountsWhatHappened() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Stub upstream = new Stub((socket, head) -> switch (Stub.header(head, "Req-Id")) {
+            case "held" -> {
+                try {
+                    yield go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "x");
+                } catch (InterruptedException e) {
+                    yield false;
+                }
+            }
+            case "9b1f" -> Stub.reply(socket, "500 No", "", "");
+            case "shed" -> Stub.reply(socket, "503 No", "Srv-Declined: 1\r\n", "");
+            default -> Stub.reply(socket, "200 OK", "", "x");
+        }); Bed bed = Bed.with(upstream); Bed.Client held = new Bed.Client(bed.address)) {
+            assertEquals("""
+                    app.ok.look=0
+                    app.shed.look=0
+                    app.errors.look=0
+                    app.tries.look=0
+                    app.ok.hold=0
+                    app.shed.hold=0
+                    app.errors.hold=0
+                    app.tries.hold=0
+                    app.ok.book=0
+                    app.shed.book=0
+                    app.errors.book=0
+                    app.tries.book=0
+                    app.active=0
+                    app.pool_size=1
+                    app.pool_ejected=0
+                    app.config_applied=0
+                    app.config_rejected=0
+                    """, vars(bed));
+            assertEquals(200, bed.ask(Bed.look("a")).status());
+            assertEquals(200, bed.ask(Bed.look("b")).status());
+            assertEquals(503, bed.ask(Bed.look("shed")).status());
+            assertEquals(502, bed.ask(Bed.post("book", "", "x")).status());
+            Stub.write(held.socket, Bed.look("held"));
+            await(bed, "app.active=1");
+            await(bed, "app.tries.look=4");
+            await(bed, "app.tries.book=1");
+            await(bed, "app.ok.look=2");
+            await(bed, "app.shed.look=1");
+            await(bed, "app.errors.book=1");
+            go.countDown();
+            assertEquals(200, held.read().status());
+            await(bed, "app.active=0");
+            await(bed, "app.ok.look=3");
+        }
+    }
+
+    /** An upstream that takes no connection is avoided; a try that was never written is none. */
+    @Test
+    void ejectedUpstreamShows() throws Exception {
+        try (Stub dead = Stub.serving("x"); Stub alive = Stub.serving("y"); Bed bed = Bed.with(dead, alive)) {
+            dead.die();
+            for (int i = 0; i < 4; i++) {
+                assertEquals("y", bed.ask(Bed.look("a" + i)).body());
+            }
+            await(bed, "app.pool_size=2");
+            await(bed, "app.pool_ejected=1");
+            await(bed, "app.tries.look=4");
+        }
+    }
+
     /** Off again after on: connections are kept again, and new requests are served all the while. */
     @Test
     void lameDuckServesWhatComesAndCanBeTurnedBack() throws Exception {
