Upgrades: take over the platform's listening socket, accept once warm

A hanging test was due to zombies of the test's own holder, not to the sidecar: its children are reaped now.

--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -1,19 +1,17 @@
 package pondridge.sidecar;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
+import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -39,7 +37,6 @@
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.math.RoundingMode;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashSet;
@@ -92,44 +89,31 @@
     private final Set<String> ids = new HashSet<>();
     private final ArrayDeque<Past> past = new ArrayDeque<>();
     private final Lifecycle lifecycle;
-    private Channel server;
 
-    Frontend(Engine engine, Options options, int mostConnections, Lifecycle lifecycle) {
+    /** Serves on this loop. */
+    Frontend(EventLoop loop, Engine engine, Options options, int mostConnections, Lifecycle lifecycle) {
         this.engine = engine;
         this.lifecycle = lifecycle;
         this.classes = options.settings().classes();
         this.classNames = options.names("profiles");
         this.tenantNames = options.names("parties");
         this.mostConnections = mostConnections;
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Listens; requests are answered at once, {@code /up} says 200 while the sidecar takes clients. */
-    ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1024)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel made) {
-                        if (connections.size() >= mostConnections && !makeRoom()) {
-                            made.close();
-                            return;
-                        }
-                        Connection connection = new Connection(made);
-                        made.pipeline().addLast(new HttpResponseEncoder(), connection.new Decoder(),
-                                connection);
-                    }
-                })
-                .bind(address);
-        server = bound.channel();
-        server.eventLoop().scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        return bound;
-    }
-
-    /** Ends the listening; connections that are open go on. */
-    void close() {
-        server.close();
+    /** Takes up a connection that was made; there are requests on it at once, whatever {@code /up} says. */
+    ChannelHandler connections() {
+        return new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel made) {
+                if (connections.size() >= mostConnections && !makeRoom()) {
+                    made.close();
+                    return;
+                }
+                Connection connection = new Connection(made);
+                made.pipeline().addLast(new HttpResponseEncoder(), connection.new Decoder(), connection);
+            }
+        };
     }
 
     /** Whether no client is connected any more. */
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -1,35 +1,18 @@
 package pondridge.sidecar;
 
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
-import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-import pondridge.Balancer.RequestClass;
-import pondridge.sidecar.admin.AdminServer;
-import pondridge.sidecar.lifecycle.Lifecycle;
-import pondridge.sidecar.metrics.Metrics;
+import pondridge.sidecar.listen.ClientListener;
 
 /** Entry point of the real sidecar: configuration, start, and an orderly end at SIGTERM. */
 public final class Main {
-    /** New connections go on coming for up to 0.4 s after SIGTERM. */
-    private static final long ACCEPT_MS = 500;
-    /** SIGKILL comes no sooner than the longest deadline and 0.7 s more. */
-    private static final long SPARE_MS = 600;
-    private static final long POLL_MS = 20;
-
-    /** Takes what SIGHUP has read: a configuration, or what is wrong with the file. */
-    private interface Reload {
-        void read(Config config, Exception fault);
-    }
-
     private Main() { }
 
     /**
@@ -42,11 +25,13 @@
         CompletableFuture<Reload> running = new CompletableFuture<>();
         reloadAtSighup(file, running);
         Config config;
+        ClientListener clients;
         try {
             if (file == null) {
                 throw new IllegalArgumentException("not set: PROXY_CONFIG");
             }
             config = Config.read(Path.of(file));
+            clients = ClientListener.given(config.listen(), System.getenv("PROXY_FD"));
         } catch (IllegalArgumentException | IOException e) {
             System.err.println("pondridge: configuration: " + e.getMessage());
             System.exit(2);
@@ -55,7 +40,17 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         boolean rehearsal = args.length == 1 && args[0].equals("rehearse");
-        loop.execute(() -> start(group, loop, config, rehearsal, running));
+        loop.execute(() -> {
+            Sidecar sidecar = new Sidecar(group, loop, config, clients, rehearsal ? Main::end : () -> { });
+            sidecar.start();
+            endAtSigterm(loop, sidecar);
+            running.complete((read, fault) -> loop.execute(() -> sidecar.reload(read, fault)));
+        });
+    }
+
+    /** Where what SIGHUP has read goes. */
+    private interface Reload {
+        void take(Config config, Exception fault);
     }
 
     /**
@@ -67,9 +62,9 @@
             Reload reload = running.join();
             synchronized (running) {
                 try {
-                    reload.read(Config.read(Path.of(file)), null);
+                    reload.take(Config.read(Path.of(file)), null);
                 } catch (IllegalArgumentException | IOException e) {
-                    reload.read(null, e);
+                    reload.take(null, e);
                 }
             }
         });
@@ -97,74 +92,18 @@
         }
     }
 
-    /** On the loop, like all that counts. */
-    private static void reconfigure(Engine engine, Metrics metrics, Config read, Exception fault) {
-        if (fault != null) {
-            metrics.configRejected();
-            System.err.println("pondridge: new configuration not taken: " + fault.getMessage());
-            return;
-        }
-        engine.reconfigure(read);
-        metrics.configApplied();
-        System.err.println("pondridge: new configuration taken");
-    }
-
-    private static void start(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config,
-            boolean rehearsal, CompletableFuture<Reload> running) {
-        Lifecycle lifecycle = new Lifecycle();
-        Metrics metrics = new Metrics();
-        Engine engine = new Engine(loop, config, config.sockets() / 2, metrics);
-        Frontend frontend = new Frontend(engine, config.options(), config.mostClients(), lifecycle);
-        engine.start(config.known());
-        running.complete((read, fault) -> loop.execute(() -> reconfigure(engine, metrics, read, fault)));
-        if (config.admin() != null) {
-            AdminServer admin = new AdminServer(lifecycle, () -> metrics.text(engine));
-            onceBound(admin.listen(group, config.admin()), "admin", at -> { });
-        }
-        onceBound(frontend.listen(group, config.listen()), "listen", at -> {
-            endAtSigterm(loop, config, engine, frontend, lifecycle);
-            WarmUp.run(loop, config.options(), at, rehearsal ? Main::end : () -> ready(config, lifecycle));
-        });
-    }
-
-    /** A sidecar that can't listen is of no use: it ends, so that whoever started it sees so. */
-    private static void onceBound(ChannelFuture bound, String key, Consumer<InetSocketAddress> next) {
-        bound.addListener(done -> {
-            if (done.isSuccess()) {
-                next.accept((InetSocketAddress) bound.channel().localAddress());
-            } else {
-                System.err.println("pondridge: " + key + ": " + done.cause().getMessage());
-                Runtime.getRuntime().halt(1);
-            }
-        });
-    }
-
-    private static void ready(Config config, Lifecycle lifecycle) {
-        lifecycle.started();
-        System.err.println("pondridge: " + config.name() + " ready at " + config.listen());
-    }
-
     /** A rehearsal is over. Not on the loop, which the shutdown hook still needs. */
     private static void end() {
         new Thread(() -> System.exit(0)).start();
     }
 
     /** The hook holds the process until all is answered, or as long as the longest request may take. */
-    private static void endAtSigterm(EventLoop loop, Config config, Engine engine, Frontend frontend,
-            Lifecycle lifecycle) {
-        long longest = config.options().settings().classes().stream()
-                .mapToLong(RequestClass::deadline).max().orElse(0) / 1_000_000;
+    private static void endAtSigterm(EventLoop loop, Sidecar sidecar) {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             CountDownLatch done = new CountDownLatch(1);
-            loop.execute(lifecycle::end);
-            loop.schedule(frontend::close, ACCEPT_MS, TimeUnit.MILLISECONDS);
-            loop.scheduleWithFixedDelay(() -> {
-                if (frontend.empty() && engine.active() == 0) {
-                    done.countDown();
-                }
-            }, ACCEPT_MS, POLL_MS, TimeUnit.MILLISECONDS);
+            loop.execute(() -> sidecar.end(done));
             try {
-                done.await(longest + SPARE_MS, TimeUnit.MILLISECONDS);
+                done.await(sidecar.longestEndMs(), TimeUnit.MILLISECONDS);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/src/main/java/pondridge/sidecar/WarmUp.java
@@ -18,8 +18,8 @@
 import pondridge.Rules;
 
 /**
- * Loads and compiles what every request runs through, before the first client comes: the sidecar asks its own
- * frontend, and an instance of the module that nobody hears decides for requests that do not exist.
+ * Loads and compiles what every request runs through, before the first client comes: the sidecar asks one of
+ * its own listeners, and an instance of the module that nobody hears decides for requests that do not exist.
  */
 final class WarmUp {
     private static final int ROUNDS = 600;
@@ -37,15 +37,17 @@
         this.done = done;
     }
 
-    /** Runs on the loop; {@code done} follows also if the frontend can't be reached. */
-    static void run(EventLoop loop, Options options, InetSocketAddress frontend, Runnable done) {
+    /** Runs on the loop; {@code done} follows also if there is no listener or it can't be reached. */
+    static void run(EventLoop loop, Options options, InetSocketAddress listener, Runnable done) {
         decide(options.settings());
         Upstreams self = new Upstreams(loop, options, 1);
-        self.listed(0, frontend, 0, true);
+        if (listener != null) {
+            self.listed(0, listener, 0, true);
+        }
         new WarmUp(self, done).ask(ROUNDS);
     }
 
-    /** The frontend is not ready and answers 503: the way there and back is the same. */
+    /** The answer is an error, since nothing is ready: the way there and back is the same. */
     private void ask(int left) {
         if (left == 0 || System.nanoTime() - began > LONGEST) {
             self.close();
--- /dev/null
+++ b/src/main/java/pondridge/sidecar/listen/ClientListener.java
@@ -0,0 +1,86 @@
+package pondridge.sidecar.listen;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+
+/** Takes clients' connections, from a socket that it binds or from one that was handed down. */
+public final class ClientListener {
+    private static final int BACKLOG = 1024;
+
+    private final InetSocketAddress address;
+    private final ServerSocketChannel inherited;
+    private Channel server;
+
+    private ClientListener(InetSocketAddress address, ServerSocketChannel inherited) {
+        this.address = address;
+        this.inherited = inherited;
+    }
+
+    /** Will bind this address. */
+    public static ClientListener binding(InetSocketAddress address) {
+        return new ClientListener(address, null);
+    }
+
+    /**
+     * Will listen at this address, on the socket handed down where {@code fd}, the value of
+     * {@code $PROXY_FD}, tells of one. Java reaches descriptor 0 alone without native code.
+     */
+    public static ClientListener given(InetSocketAddress address, String fd) throws IOException {
+        if (fd == null || fd.isEmpty()) {
+            return binding(address);
+        }
+        if (!fd.equals("0")) {
+            throw new IllegalArgumentException("only descriptor 0 can be taken over: PROXY_FD=" + fd);
+        }
+        if (!(System.inheritedChannel() instanceof ServerSocketChannel socket)) {
+            throw new IllegalArgumentException("descriptor 0 is no listening socket: PROXY_FD");
+        }
+        if (!address.equals(socket.getLocalAddress())) {
+            System.err.println("pondridge: listening at " + socket.getLocalAddress()
+                    + " as handed down, not at " + address);
+        }
+        return new ClientListener(address, socket);
+    }
+
+    /** Whether another process may be taking clients from the same socket. */
+    public boolean shared() {
+        return inherited != null;
+    }
+
+    /** Takes connections from now on. */
+    public ChannelFuture open(EventLoopGroup group, ChannelHandler each) {
+        ServerBootstrap bootstrap = new ServerBootstrap().group(group)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(each);
+        ChannelFuture opened = shared()
+                ? bootstrap.channelFactory(() -> new NioServerSocketChannel(inherited)).register()
+                : bootstrap.channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .bind(address);
+        server = opened.channel();
+        return opened;
+    }
+
+    /**
+     * Takes no more; what waits in a shared socket's queue is left to the other process. Such a socket is
+     * never closed: the JVM would point standard output and error at nothing along with it.
+     */
+    public void stop() {
+        if (server == null) {
+            return;
+        }
+        if (shared()) {
+            server.deregister();
+        } else {
+            server.close();
+        }
+    }
+}
--- a/src/test/java/pondridge/sidecar/Bed.java
+++ b/src/test/java/pondridge/sidecar/Bed.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import pondridge.sidecar.admin.AdminServer;
 import pondridge.sidecar.lifecycle.Lifecycle;
+import pondridge.sidecar.listen.ClientListener;
 import pondridge.sidecar.metrics.Metrics;
 
 /** A sidecar in this process, with its upstreams known from the start, and a client for it. */
@@ -27,6 +28,7 @@
     final Lifecycle lifecycle = new Lifecycle();
     final Metrics metrics = new Metrics();
     final Frontend frontend;
+    final ClientListener clients;
     final Engine engine;
     final InetSocketAddress address;
     final InetSocketAddress admin;
@@ -37,9 +39,11 @@
     Bed(ObjectNode json) throws Exception {
         Config config = Config.of(json);
         engine = new Engine(loop, config, MOST, metrics);
-        frontend = new Frontend(engine, config.options(), MOST, lifecycle);
+        frontend = new Frontend(loop, engine, config.options(), MOST, lifecycle);
         loop.submit(() -> engine.start(config.known())).sync();
-        address = (InetSocketAddress) frontend.listen(group, config.listen()).sync().channel().localAddress();
+        clients = ClientListener.binding(config.listen());
+        address = (InetSocketAddress) clients.open(group, frontend.connections()).sync().channel()
+                .localAddress();
         admin = (InetSocketAddress) new AdminServer(lifecycle, () -> metrics.text(engine))
                 .listen(group, new InetSocketAddress("127.0.0.1", 0)).sync().channel().localAddress();
     }
--- a/src/test/java/pondridge/sidecar/DeployedIT.java
+++ b/src/test/java/pondridge/sidecar/DeployedIT.java
@@ -34,12 +34,15 @@
         }
     }
 
-    private void start(String key, ObjectNode config) throws IOException {
+    private static String command(String key) throws IOException {
         String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
                 .filter(each -> each.startsWith(key + " = \"")).findFirst().orElseThrow();
-        String command = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
+        return line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
+    }
+
+    private void start(String key, ObjectNode config) throws IOException {
         Path file = write(config.toString());
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command);
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command(key));
         builder.environment().put("PROXY_CONFIG", file.toString());
         process = builder.start();
     }
@@ -119,6 +122,105 @@
         }
     }
 
+    private ProcessHandle startOnSharedSocket(String name, ObjectNode config) throws IOException {
+        Path file = Files.writeString(folder.resolve(name), config.toString());
+        process.outputWriter().write(file + "\t" + command("run") + "\n");
+        process.outputWriter().flush();
+        return ProcessHandle.of(Long.parseLong(process.inputReader().readLine())).orElseThrow();
+    }
+
+    private static void awaitYes(InetSocketAddress door) throws Exception {
+        String ready = "GET /_ready HTTP/1.1\r\nHost: a\r\n\r\n";
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Stub.LIMIT_S);
+        while (true) {
+            try (Bed.Client client = new Bed.Client(door)) {
+                if (client.ask(ready).status() == 200) {
+                    return;
+                }
+            } catch (ConnectException e) {
+                assertTrue(System.nanoTime() < end, "never listened");
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    /**
+     * A second start on the platform's socket takes over: the first one answers what it holds and ends at
+     * SIGTERM, not one client is turned away, and neither loses its log.
+     */
+    @Test
+    void secondStartOnTheSharedSocketTakesOver() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Stub upstream = new Stub((socket, head) -> {
+            try {
+                return (!head.contains("Req-Id: held") || go.await(Stub.LIMIT_S, TimeUnit.SECONDS))
+                        && Stub.reply(socket, "200 OK", "", "x");
+            } catch (InterruptedException e) {
+                return false;
+            }
+        })) {
+            process = new ProcessBuilder("perl", "src/test/resources/holder.pl").start();
+            int port = Integer.parseInt(process.inputReader().readLine());
+            InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+            InetSocketAddress oldDoor = freeAddress();
+            InetSocketAddress newDoor = freeAddress();
+            ObjectNode json = Bed.json(upstream).put("listen", "127.0.0.1:" + port);
+            ProcessHandle old = startOnSharedSocket("old.json", json.put("admin", text(oldDoor)));
+            ProcessHandle next = null;
+            try (Bed.Client held = new Bed.Client(address)) {
+                Stub.write(held.socket, Bed.look("held"));
+                awaitYes(oldDoor);
+                Stub.next(upstream.heads);
+                next = startOnSharedSocket("new.json", json.put("admin", text(newDoor)));
+                for (int i = 0; !next.isAlive() || i < 3; i++) {
+                    assertEquals(200, bedAsk(address, Bed.look("during" + i)), "while the new one starts");
+                }
+                awaitYes(newDoor);
+                old.destroy();
+                for (int i = 0; i < 50; i++) {
+                    assertEquals(200, bedAsk(address, Bed.look("after" + i)), "nobody is turned away");
+                }
+                go.countDown();
+                assertEquals(200, held.read().status());
+                old.onExit().get(Stub.LIMIT_S, TimeUnit.SECONDS);
+                assertEquals(200, bedAsk(address, Bed.look("alone")));
+                assertTrue(next.isAlive());
+            } finally {
+                old.destroyForcibly();
+                if (next != null) {
+                    next.destroy();
+                    next.onExit().get(Stub.LIMIT_S, TimeUnit.SECONDS);
+                }
+            }
+            process.outputWriter().close();
+            String log = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertEquals(2, log.lines().filter(line -> line.contains("ready at")).count(), log);
+            assertEquals(2, log.lines().filter(line -> line.contains("ending")).count(), log);
+        }
+    }
+
+    @Test
+    void descriptorThatIsNoListenerEndsWithOneLine() throws Exception {
+        Path file = write(Bed.json().toString());
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command("run"));
+        builder.environment().put("PROXY_CONFIG", file.toString());
+        builder.environment().put("PROXY_FD", "0");
+        process = builder.start();
+        String err = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(2, exit());
+        assertTrue(err.contains("PROXY_FD") && err.lines().count() == 1, err);
+    }
+
+    private static String text(InetSocketAddress address) {
+        return "127.0.0.1:" + address.getPort();
+    }
+
+    private static int bedAsk(InetSocketAddress address, String request) throws IOException {
+        try (Bed.Client client = new Bed.Client(address)) {
+            return client.ask(request).status();
+        }
+    }
+
     /** The JVM's own way with SIGHUP is to end: here each one brings the file's new discovery, under way. */
     @Test
     void sighupTakesTheNewDiscoveryAndABadFileChangesNothing() throws Exception {
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -276,7 +276,7 @@
             Bed.Answer meanwhile = bed.ask("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
             assertEquals(503, meanwhile.status(), "and its client still gets in");
             assertEquals("close", Stub.header(meanwhile.head(), "Connection"));
-            bed.loop.submit(bed.frontend::close).sync();
+            bed.loop.submit(bed.clients::stop).sync();
             assertThrows(IOException.class, () -> bed.ask(Bed.look("b")), "until the listening ends");
             assertFalse(bed.loop.submit(bed.frontend::empty).get());
             go.countDown();
--- /dev/null
+++ b/src/test/resources/holder.pl
@@ -0,0 +1,26 @@
+# Holds a listening socket as the platform does. For each line "config file<TAB>command" on standard input it
+# starts that command with the socket as descriptor 0, and prints the process's id.
+use strict;
+use warnings;
+use IO::Socket::INET;
+
+$| = 1;
+$SIG{CHLD} = 'IGNORE';
+my $socket = IO::Socket::INET->new(LocalAddr => '127.0.0.1', Listen => 1024) or die "no socket: $!";
+open(my $lines, '<&', \*STDIN) or die "no input: $!";
+open(STDIN, '<&', $socket) or die "no descriptor 0: $!";
+print $socket->sockport, "\n";
+while (my $line = <$lines>) {
+    chomp $line;
+    my ($config, $command) = split /\t/, $line, 2;
+    my $pid = fork;
+    if (!$pid) {
+        close $lines;
+        close $socket;
+        open(STDOUT, '>&', \*STDERR);
+        $ENV{PROXY_CONFIG} = $config;
+        $ENV{PROXY_FD} = 0;
+        exec '/bin/sh', '-c', $command;
+    }
+    print "$pid\n";
+}
