--- a/src/main/java/pondridge/Balancer.java
+++ b/src/main/java/pondridge/Balancer.java
@@ -160,6 +160,12 @@
             tenants = List.copyOf(tenants);
             reportFields = List.copyOf(reportFields);
         }
+
+        /** The same settings with other classes. */
+        public Settings with(List<RequestClass> others) {
+            return new Settings(rank, replicas, zone, quantum, discovery, weights, others, tenants, allowed,
+                    limits, reportFields, charges, valueByWork, overShareWorth);
+        }
     }
 
     /**
@@ -249,6 +255,13 @@
     /** A probe's result. */
     default void probeResult(long now, long upstream, Outcome outcome, long elapsed, float[] load) { }
 
+    /**
+     * New settings hold from now on. A class keeps its number and its effect for ever, and new ones come
+     * behind; requests that are open keep the class and the try limit they came under. Tenants and the way of
+     * discovery stay as they were at the start.
+     */
+    void retuned(long now, Settings next);
+
     /** How many ready upstreams are now avoided for what was seen of them. Changes nothing. */
     int avoided(long now);
 
--- a/src/main/java/pondridge/FadingSum.java
+++ b/src/main/java/pondridge/FadingSum.java
@@ -2,7 +2,7 @@
 
 /** A sum that forgets: what was added a window ago counts by 1/e. */
 final class FadingSum {
-    private final double window;
+    private double window;
     private double value;
     private long at;
 
@@ -16,6 +16,14 @@
         return at == 0 ? value : value * Math.exp((at - now) / window);
     }
 
+    /** Forgets by another window from now on. */
+    void window(long now, double next) {
+        if (at != 0) {
+            add(now, 0);
+        }
+        window = next;
+    }
+
     void add(long now, double more) {
         value = value(now) + more;
         at = now;
--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
@@ -20,7 +21,7 @@
  * books ({@link Ledger}). Each departure from that path says beside it which danger it meets.
  */
 public final class Rules implements Balancer {
-    private final Settings settings;
+    private Settings settings;
     private final Actions actions;
     private final Random random;
     private final Pattern pattern = new Pattern();
@@ -106,6 +107,17 @@
         alarms.flush();
     }
 
+    @Override
+    public void retuned(long now, Settings next) {
+        settings = next;
+        roster.retuned(now);
+        health.retuned();
+        admission.retuned(now);
+        reports.retuned();
+        admission.drain(now);
+        alarms.flush();
+    }
+
     @Override
     public int avoided(long now) {
         return (int) roster.ready.stream().filter(server -> health.shutToAll(now, server)).count();
@@ -235,6 +247,7 @@
     private static final class Call {
         final Request request;
         final RequestClass kind;
+        final int tryLimit;
         final long deadline;
         final long aim;
         final long aimAt;
@@ -248,9 +261,10 @@
         double bar;
         double expected;
 
-        Call(Request request, RequestClass kind, long now, long elapsed) {
+        Call(Request request, RequestClass kind, int tryLimit, long now, long elapsed) {
             this.request = request;
             this.kind = kind;
+            this.tryLimit = tryLimit;
             this.deadline = now + request.timeLeft();
             double stretched = kind.aim() + kind.aimStretch() * request.costHint();
             this.aim = (long) Math.min(stretched, kind.deadline());
@@ -268,11 +282,11 @@
         private final Map<Long, Call> calls = new HashMap<>();
 
         Call open(long now, Request request) {
-            Call call = new Call(request, settings.classes().get(request.requestClass()), now,
-                    admission.elapsed(request));
+            Call call = new Call(request, settings.classes().get(request.requestClass()),
+                    settings.allowed().tryLimit(), now, admission.elapsed(request));
             // Danger: answers of no time would bring alarms an expected time apart to a stand.
             call.expected = Math.max(call.aim / 1000.0,
-                    health.usual[request.requestClass()].expected(request.costHint()));
+                    health.usual.get(request.requestClass()).expected(request.costHint()));
             calls.put(request.id(), call);
             alarms.set(call.deadline, at -> {
                 if (!call.streaming) {
@@ -295,7 +309,7 @@
         /** Whether some further attempt is allowed now, whichever server it goes to. */
         boolean mayTryAgain(long now, Call call) {
             if (call.closed || call.streaming || now >= call.deadline
-                    || call.waiting() || call.attempts.size() >= settings.allowed().tryLimit()) {
+                    || call.waiting() || call.attempts.size() >= call.tryLimit) {
                 return false;
             }
             Attempt doubt = firstDoubt(call);
@@ -409,6 +423,10 @@
         private long retryWait;
         private long asked;
 
+        void retuned(long now) {
+            served.window(now, settings.limits().rampTime());
+        }
+
         void follow(long now) {
             if (settings.discovery() == Discovery.SUBSCRIBE) {
                 actions.subscribe(true);
@@ -593,12 +611,17 @@
         /** Machines of one fleet differ about twofold from their mean; beyond that it is a fault. */
         private static final double SLOW = 2;
         /** Of each class, over all servers, starting from a tenth of its aim. */
-        private final Usual[] usual = new Usual[settings.classes().size()];
-        private final long firstBackoff;
+        private final List<Usual> usual = new ArrayList<>();
+        private long firstBackoff;
 
         Health() {
-            for (int i = 0; i < usual.length; i++) {
-                usual[i] = new Usual(settings.classes().get(i).aim() / 10.0);
+            retuned();
+        }
+
+        /** What is known of a class stays; one that is new starts like any other. */
+        void retuned() {
+            for (int i = usual.size(); i < settings.classes().size(); i++) {
+                usual.add(new Usual(settings.classes().get(i).aim() / 10.0));
             }
             firstBackoff = settings.classes().stream().mapToLong(RequestClass::aim).min().orElse(1);
         }
@@ -637,9 +660,9 @@
         /** For operators: whether every class avoids it, but for trials. */
         boolean shutToAll(long now, Server server) {
             double exposure = server.exposure + server.load * (now - server.integratedAt);
-            for (int i = 0; i < usual.length; i++) {
+            for (int i = 0; i < usual.size(); i++) {
                 double aim = settings.classes().get(i).aim();
-                if (!shut(server, slowness(server, exposure), usual[i].mean, aim)) {
+                if (!shut(server, slowness(server, exposure), usual.get(i).mean, aim)) {
                     return false;
                 }
             }
@@ -663,7 +686,8 @@
                 case OK -> {
                     reports.learn(attempt, now - attempt.sentAt);
                     learnPace(server, (now - attempt.sentAt) / call.expected);
-                    usual[call.request.requestClass()].learn(now - attempt.sentAt, call.request.costHint());
+                    usual.get(call.request.requestClass())
+                            .learn(now - attempt.sentAt, call.request.costHint());
                     heard(server);
                 }
                 case ERROR, RESET -> {
@@ -719,8 +743,8 @@
         private final Share[] shares = new Share[Math.max(1, settings.tenants().size())];
         private int held;
         private long drains;
-        private final long[] firstLeft = new long[settings.classes().size()];
-        private final int[] firstVotes = new int[settings.classes().size()];
+        private long[] firstLeft = new long[settings.classes().size()];
+        private int[] firstVotes = new int[settings.classes().size()];
         /** Over eight aims: ten attempts at a few requests a second; one is taken for good at first. */
         private final FadingSum tried = new FadingSum(8.0 * health.firstBackoff, 1);
         private final FadingSum inTime = new FadingSum(8.0 * health.firstBackoff, 1);
@@ -733,6 +757,13 @@
             }
         }
 
+        void retuned(long now) {
+            firstLeft = Arrays.copyOf(firstLeft, settings.classes().size());
+            firstVotes = Arrays.copyOf(firstVotes, settings.classes().size());
+            tried.window(now, 8.0 * health.firstBackoff);
+            inTime.window(now, 8.0 * health.firstBackoff);
+        }
+
         /**
          * Time the client has spent on earlier tries. A first try has a fixed part of the deadline left, the
          * same each time; a last one has what remains of the whole. The commonest value marks the first tries
@@ -840,7 +871,7 @@
             Server server = attempt.server;
             tried.add(now, 1);
             inTime.add(now, outcome == Outcome.OK && now <= call.aimAt ? 1 : 0);
-            Usual usual = health.usual[call.request.requestClass()];
+            Usual usual = health.usual.get(call.request.requestClass());
             double scaled = (now - attempt.sentAt) * usual.mean / call.expected;
             if (outcome == Outcome.REJECTED || scaled > LATE * call.aim) {
                 if (attempt.sentAt >= server.lastCut) {
@@ -877,14 +908,23 @@
         private static final double CHEAP = 0.01;
         /** Part of the aim that a look may take; a healthy upstream answers beside its queue at once. */
         private static final int PATIENCE = 20;
-        private final int field = settings.reportFields().indexOf("rif");
-        private final boolean pays = field >= 0 && settings.allowed().probes()
-                && settings.charges().probe() * ASKED <= CHEAP;
+        private int field;
+        private boolean pays;
         /** Part of the aim that an upstream's work in hand may take up; the rest is for its spread. */
         private static final double FULL = 0.6;
         private double usual;
         private double turnTime;
 
+        Reports() {
+            retuned();
+        }
+
+        void retuned() {
+            field = settings.reportFields().indexOf("rif");
+            pays = field >= 0 && settings.allowed().probes()
+                    && settings.charges().probe() * ASKED <= CHEAP;
+        }
+
         /** With no more sidecars than upstreams, own counts show enough of what an upstream holds. */
         boolean looks() {
             return pays && settings.replicas() > roster.ready.size();
--- a/src/main/java/pondridge/sidecar/Config.java
+++ b/src/main/java/pondridge/sidecar/Config.java
@@ -1,29 +1,41 @@
 package pondridge.sidecar;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 import java.util.StringJoiner;
 import pondridge.Options;
 import pondridge.sidecar.admin.AdminServer;
 
-/** What one sidecar is told at its start; a mistake is an exception whose message names the key. */
+/** What one sidecar is told, checked whole; a mistake is an exception whose message names the key. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
-        long seed, int sockets, Discovery.Listing known, Options options) {
+        long seed, int sockets, Discovery.Listing known, Options options, JsonNode root) {
     static final ObjectMapper JSON = new ObjectMapper();
+    /** A file that is cut short or pasted together must not pass for what its first part says. */
+    private static final ObjectReader STRICT = JSON.reader()
+            .with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .with(StreamReadFeature.STRICT_DUPLICATE_DETECTION);
+    /** Settings that the module, or what it knows, can't change while it runs. */
+    private static final List<String> FIXED = List.of("discovery", "parties");
     private static final int FEWEST_SOCKETS = 64;
     private static final int RESERVED = 40;
 
     static Config read(Path file) throws IOException {
         try {
-            return of(JSON.readTree(Files.readAllBytes(file)));
+            return of(STRICT.readTree(Files.readAllBytes(file)));
         } catch (JsonProcessingException e) {
             throw new IllegalArgumentException("not JSON: " + e.getOriginalMessage(), e);
         }
@@ -34,10 +46,15 @@
         if (!settings.isObject()) {
             throw new IllegalArgumentException("missing: settings");
         }
+        requireNumbers(settings);
         StringBuilder lines = new StringBuilder();
         flatten("", settings, lines);
         Options options = new Options(lines.toString());
         options.settings();
+        List<String> names = options.names("profiles");
+        if (Set.copyOf(names).size() < names.size()) {
+            throw new IllegalArgumentException("a name is given twice: settings.profiles");
+        }
         int sockets = root.path("limits").path("sockets").asInt(1024);
         if (sockets < FEWEST_SOCKETS) {
             throw new IllegalArgumentException("too few: limits.sockets");
@@ -45,7 +62,61 @@
         Discovery.Listing known = root.has("known") ? Discovery.Listing.of(root.get("known"))
                 : Discovery.Listing.NONE;
         return new Config(root.path("name").asText("sidecar"), address(root, "listen"), admin(root),
-                address(root, "discovery"), seed(root), sockets, known, options);
+                address(root, "discovery"), seed(root), sockets, known, options, root);
+    }
+
+    /** What decides how long and how often is never guessed at. */
+    private static void requireNumbers(JsonNode settings) {
+        requireAboveNought(settings.path("caps"), "tryLimit", "caps.");
+        int number = 0;
+        for (JsonNode profile : settings.path("profiles")) {
+            String path = "profiles." + number++ + ".";
+            requireAboveNought(profile, "deadline", path);
+            requireAboveNought(profile, "slo", path);
+            requireKeys(profile, path, "by_key".equals(profile.path("semantics").asText())
+                    ? List.of("name", "semantics", "keyScope", "keyTtl") : List.of("name", "semantics"));
+        }
+    }
+
+    private static void requireAboveNought(JsonNode holder, String key, String path) {
+        JsonNode value = holder.path(key);
+        if (!value.isNumber() || value.asDouble() <= 0) {
+            throw new IllegalArgumentException("not a number above 0: " + path + key);
+        }
+    }
+
+    private static void requireKeys(JsonNode holder, String path, Iterable<String> keys) {
+        for (String key : keys) {
+            if (!holder.hasNonNull(key)) {
+                throw new IllegalArgumentException("missing: " + path + key);
+            }
+        }
+    }
+
+    /**
+     * Whether a running sidecar may take this over from what it has: each key that is in force has to be
+     * there again, since a default in its place would change the rules unasked.
+     */
+    void requireFit(Config inForce) {
+        requireSameKeys("", inForce.root, root);
+        for (String key : FIXED) {
+            if (!root.path("settings").path(key).equals(inForce.root.path("settings").path(key))) {
+                throw new IllegalArgumentException("changes only with a restart: settings." + key);
+            }
+        }
+        if (!listen.equals(inForce.listen) || !Objects.equals(admin, inForce.admin)) {
+            System.err.println("pondridge: listen and admin stay as they are until a restart");
+        }
+    }
+
+    /** Lists are not looked into: their entries come and go. */
+    private static void requireSameKeys(String path, JsonNode inForce, JsonNode next) {
+        for (Map.Entry<String, JsonNode> field : inForce.properties()) {
+            if (!field.getValue().isNull()) {
+                requireKeys(next, path, List.of(field.getKey()));
+                requireSameKeys(path + field.getKey() + ".", field.getValue(), next.get(field.getKey()));
+            }
+        }
     }
 
     /** Of the descriptors: clients may need a third for requests at once, and some are on their way out. */
--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -22,7 +22,9 @@
 import pondridge.Balancer.Request;
 import pondridge.Balancer.State;
 import pondridge.Balancer.Upstream;
+import pondridge.Options;
 import pondridge.Rules;
+import pondridge.sidecar.classes.ClassTable;
 import pondridge.sidecar.metrics.ClassCounts;
 import pondridge.sidecar.metrics.Metrics;
 
@@ -35,8 +37,8 @@
     private static final long ANSWER_ROOM = 10_000_000;
 
     /** A request as the frontend took it. */
-    record Job(int requestClass, int tenant, long key, long waitMs, long costHint, boolean clientRetry,
-            HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+    record Job(ClassTable.Entry requestClass, int tenant, long key, long waitMs, long costHint,
+            boolean clientRetry, HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
         /** The same request, whose body has come. */
         Job with(byte[] whole) {
             return new Job(requestClass, tenant, key, waitMs, costHint, clientRetry, method, uri, headers,
@@ -61,25 +63,26 @@
         private final Job job;
         private final Client client;
         private final ClassCounts counts;
+        private final int tryLimit;
         private long deadline;
         private final List<Upstreams.Attempt> attempts = new ArrayList<>(1);
         private Future<?> timer;
         private int out;
         private boolean over;
 
-        Call(Job job, Client client, ClassCounts counts) {
+        Call(Job job, Client client, ClassCounts counts, int tryLimit) {
             this.job = job;
             this.client = client;
             this.counts = counts;
+            this.tryLimit = tryLimit;
         }
     }
 
     private final EventLoop loop;
     private final Balancer rules;
-    private final int tryLimit;
     private final int mostOpen;
     private final Metrics metrics;
-    private final List<String> classNames;
+    private final ClassTable classes;
     private final Upstreams upstreams;
     private final Discovery discovery;
     private final Map<Long, Call> calls = new HashMap<>();
@@ -88,22 +91,30 @@
     private final Map<String, Integer> kinds = new HashMap<>();
     private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
     private final long clockOffset = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
+    private int tryLimit;
     private boolean telling;
     private long lastId;
 
-    Engine(EventLoop loop, Config config, int mostOpen, Metrics metrics) {
-        Balancer.Settings settings = config.options().settings();
+    Engine(EventLoop loop, Config config, int mostOpen, Metrics metrics, ClassTable classes) {
         this.loop = loop;
-        this.rules = new Rules(settings, config.seed(), this);
-        this.tryLimit = settings.allowed().tryLimit();
         this.mostOpen = mostOpen;
         this.metrics = metrics;
-        this.classNames = config.options().names("profiles");
-        metrics.show(classNames);
+        this.classes = classes;
+        this.rules = new Rules(take(config.options()), config.seed(), this);
         this.upstreams = new Upstreams(loop, config.options(), config.mostUpstream());
         this.discovery = new Discovery(loop, config.discovery(), config.known().rev(), this::listed);
-        config.options().list("zones").forEach(zone -> number(zones, zone));
-        config.options().list("kinds").forEach(kind -> number(kinds, kind));
+    }
+
+    /** Takes settings over; returns them as the module is to know them, with the table's numbers. */
+    private Balancer.Settings take(Options options) {
+        Balancer.Settings settings = options.settings();
+        List<String> names = options.names("profiles");
+        classes.take(names, settings.classes());
+        metrics.show(names);
+        tryLimit = settings.allowed().tryLimit();
+        options.list("zones").forEach(zone -> number(zones, zone));
+        options.list("kinds").forEach(kind -> number(kinds, kind));
+        return settings.with(classes.rules());
     }
 
     /** Begins with the cached list; on the loop, like all that follows. */
@@ -112,8 +123,11 @@
         listed(ListKind.CACHED, known.targets());
     }
 
-    /** Takes a new configuration over: where discovery is. All else stays as it was at the start. */
+    /** Takes a new configuration over: the settings, and where discovery is. */
     void reconfigure(Config config) {
+        Balancer.Settings settings = take(config.options());
+        upstreams.retune(config.options());
+        tell(now -> rules.retuned(now, settings));
         discovery.move(config.discovery());
     }
 
@@ -173,7 +187,7 @@
 
     /** Takes a request; returns the number under which {@link #hangup} knows it. */
     long submit(Job job, Client client) {
-        ClassCounts counts = metrics.of(classNames.get(job.requestClass()));
+        ClassCounts counts = metrics.of(job.requestClass().name());
         if (calls.size() >= mostOpen) {
             counts.refused();
             client.refused(0);
@@ -181,13 +195,13 @@
         }
         long id = ++lastId;
         long left = Math.max(1, job.waitMs() * 1_000_000 - ANSWER_ROOM);
-        Call call = new Call(job, client, counts);
+        Call call = new Call(job, client, counts, tryLimit);
         calls.put(id, call);
         // The module answers by its own deadline; this holds for whatever it may have missed.
         call.timer = loop.schedule(() -> fail(id), left + ANSWER_ROOM / 2, TimeUnit.NANOSECONDS);
         tell(now -> {
             call.deadline = now + left;
-            rules.request(now, new Request(id, job.requestClass(), job.tenant(), job.key(), left,
+            rules.request(now, new Request(id, job.requestClass().number(), job.tenant(), job.key(), left,
                     job.costHint(), job.clientRetry(), !job.method().equals(HttpMethod.GET)));
         });
         return id;
@@ -241,7 +255,7 @@
         }
         int number = call.attempts.size();
         call.out++;
-        if (call.over || now >= call.deadline || number >= tryLimit) {
+        if (call.over || now >= call.deadline || number >= call.tryLimit) {
             call.attempts.add(null);
             ended(request, call, number, upstream, now, Outcome.NEVER_SENT, null, new float[0]);
             return;
--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -44,9 +44,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import pondridge.Balancer.RequestClass;
 import pondridge.Balancer.Semantics;
-import pondridge.Options;
+import pondridge.sidecar.classes.ClassTable;
 import pondridge.sidecar.lifecycle.Lifecycle;
 
 /**
@@ -81,8 +80,7 @@
     private record Past(String id, long at) { }
 
     private final Engine engine;
-    private final List<RequestClass> classes;
-    private final List<String> classNames;
+    private final ClassTable classes;
     private final List<String> tenantNames;
     private final int mostConnections;
     private final Set<Connection> connections = new LinkedHashSet<>();
@@ -91,12 +89,12 @@
     private final Lifecycle lifecycle;
 
     /** Serves on this loop. */
-    Frontend(EventLoop loop, Engine engine, Options options, int mostConnections, Lifecycle lifecycle) {
+    Frontend(EventLoop loop, Engine engine, ClassTable classes, List<String> tenantNames, int mostConnections,
+            Lifecycle lifecycle) {
         this.engine = engine;
         this.lifecycle = lifecycle;
-        this.classes = options.settings().classes();
-        this.classNames = options.names("profiles");
-        this.tenantNames = options.names("parties");
+        this.classes = classes;
+        this.tenantNames = tenantNames;
         this.mostConnections = mostConnections;
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
@@ -463,8 +461,8 @@
         if (header(message, "Req-Id").length() > LONGEST_ID) {
             throw new IllegalArgumentException("Req-Id too long");
         }
-        int kind = classNames.indexOf(header(message, "Req-Kind"));
-        if (kind < 0) {
+        ClassTable.Entry kind = classes.named(header(message, "Req-Kind"));
+        if (kind == null) {
             throw new IllegalArgumentException("unknown Req-Kind");
         }
         int tenant = 0;
@@ -475,14 +473,14 @@
             }
         }
         String idempotencyKey = message.headers().get(KEY);
-        Semantics semantics = classes.get(kind).semantics();
+        Semantics semantics = kind.rules().semantics();
         HttpMethod method = semantics == Semantics.REPEATABLE ? HttpMethod.GET : HttpMethod.POST;
         if (!message.method().equals(method)
                 || (semantics == Semantics.BY_KEY) != (idempotencyKey != null && !idempotencyKey.isEmpty())) {
             throw new IllegalArgumentException("method or Idempotency-Key does not fit the class");
         }
         // Nobody waits for longer than the class allows, whatever the header says.
-        long wait = Math.min(number(message, "Req-Deadline-Ms"), classes.get(kind).deadline() / 1_000_000);
+        long wait = Math.min(number(message, "Req-Deadline-Ms"), kind.rules().deadline() / 1_000_000);
         long cost = message.headers().contains("Req-Cost") ? number(message, "Req-Cost") * 1000 : 0;
         return new Engine.Job(kind, tenant, key(path), wait, cost,
                 "1".equals(message.headers().get("Req-Retry")), method, message.uri(), message.headers(),
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -22,7 +22,7 @@
      */
     public static void main(String[] args) {
         String file = System.getenv("PROXY_CONFIG");
-        CompletableFuture<Reload> running = new CompletableFuture<>();
+        CompletableFuture<Sidecar> running = new CompletableFuture<>();
         reloadAtSighup(file, running);
         Config config;
         ClientListener clients;
@@ -44,28 +44,19 @@
             Sidecar sidecar = new Sidecar(group, loop, config, clients, rehearsal ? Main::end : () -> { });
             sidecar.start();
             endAtSigterm(loop, sidecar);
-            running.complete((read, fault) -> loop.execute(() -> sidecar.reload(read, fault)));
+            running.complete(sidecar);
         });
     }
 
-    /** Where what SIGHUP has read goes. */
-    private interface Reload {
-        void take(Config config, Exception fault);
-    }
-
     /**
      * Left to itself the JVM ends at SIGHUP. It calls this handler on a thread of its own, so reading the
      * file holds nobody up; one that comes before the start is over waits for it. A bad file changes nothing.
      */
-    private static void reloadAtSighup(String file, CompletableFuture<Reload> running) {
+    private static void reloadAtSighup(String file, CompletableFuture<Sidecar> running) {
         onSighup(() -> {
-            Reload reload = running.join();
+            Sidecar sidecar = running.join();
             synchronized (running) {
-                try {
-                    reload.take(Config.read(Path.of(file)), null);
-                } catch (IllegalArgumentException | IOException e) {
-                    reload.take(null, e);
-                }
+                sidecar.reload(Path.of(file));
             }
         });
     }
--- a/src/main/java/pondridge/sidecar/Sidecar.java
+++ b/src/main/java/pondridge/sidecar/Sidecar.java
@@ -3,12 +3,15 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import pondridge.Balancer.RequestClass;
 import pondridge.sidecar.admin.AdminServer;
+import pondridge.sidecar.classes.ClassTable;
 import pondridge.sidecar.lifecycle.Lifecycle;
 import pondridge.sidecar.listen.ClientListener;
 import pondridge.sidecar.metrics.Metrics;
@@ -23,7 +26,7 @@
 
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
-    private final Config config;
+    private volatile Config config;
     private final ClientListener clients;
     private final Runnable whenReady;
     private final Lifecycle lifecycle = new Lifecycle();
@@ -38,8 +41,10 @@
         this.config = config;
         this.clients = clients;
         this.whenReady = whenReady;
-        this.engine = new Engine(loop, config, config.sockets() / 2, metrics);
-        this.frontend = new Frontend(loop, engine, config.options(), config.mostClients(), lifecycle);
+        ClassTable classes = new ClassTable();
+        this.engine = new Engine(loop, config, config.sockets() / 2, metrics, classes);
+        this.frontend = new Frontend(loop, engine, classes, config.options().names("parties"),
+                config.mostClients(), lifecycle);
     }
 
     void start() {
@@ -87,16 +92,33 @@
         whenReady.run();
     }
 
-    /** Takes what SIGHUP has read: a configuration, or what is wrong with the file. */
-    void reload(Config read, Exception fault) {
-        if (fault != null) {
-            metrics.configRejected();
-            System.err.println("pondridge: new configuration not taken: " + fault.getMessage());
+    /** At SIGHUP: reads the file, on the caller's thread, and takes it over whole or not at all. */
+    void reload(Path file) {
+        try {
+            Config read = Config.read(file);
+            loop.execute(() -> take(read));
+        } catch (IllegalArgumentException | IOException e) {
+            loop.execute(() -> turnDown(e));
+        }
+    }
+
+    private void take(Config read) {
+        try {
+            read.requireFit(config);
+        } catch (IllegalArgumentException e) {
+            turnDown(e);
             return;
         }
         engine.reconfigure(read);
+        config = read;
         metrics.configApplied();
-        System.err.println("pondridge: new configuration taken");
+        System.err.println("pondridge: new configuration taken: classes " + read.options().names("profiles")
+                + ", attempts " + read.options().settings().allowed().tryLimit());
+    }
+
+    private void turnDown(Exception fault) {
+        metrics.configRejected();
+        System.err.println("pondridge: new configuration not taken: " + fault.getMessage());
     }
 
     /** At SIGTERM: calls {@code done} once all is answered and nobody is connected any more. */
@@ -111,7 +133,7 @@
         }, ACCEPT_MS, POLL_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** How long an end may take at the most. */
+    /** How long an end may take at the most; from any thread. */
     long longestEndMs() {
         long longest = config.options().settings().classes().stream()
                 .mapToLong(RequestClass::deadline).max().orElse(0) / 1_000_000;
--- a/src/main/java/pondridge/sidecar/Upstreams.java
+++ b/src/main/java/pondridge/sidecar/Upstreams.java
@@ -69,10 +69,10 @@
     }
 
     private final EventLoop loop;
-    private final int connectTimeoutMs;
-    private final long keepIdle;
     private final int mostConnections;
-    private final List<String> reportFields;
+    private int connectTimeoutMs;
+    private long keepIdle;
+    private List<String> reportFields;
     private final Map<Long, Pool> pools = new HashMap<>();
     /** Stands for every upstream that is not listed. */
     private final Pool nobody = new Pool();
@@ -81,15 +81,20 @@
 
     Upstreams(EventLoop loop, Options options, int mostConnections) {
         this.loop = loop;
-        this.connectTimeoutMs = Math.max(1, (int) (options.number("caps.connectTimeout", 1e9) / 1e6));
-        // An upstream closes at its idle time; a tenth before it, no request can cross that on its way.
-        this.keepIdle = (long) (options.number("caps.connIdle", 5e9) * 0.9);
         this.mostConnections = mostConnections;
-        this.reportFields = options.list("report.fields");
+        retune(options);
         long sweep = Math.max(1, keepIdle / 20);
         retirement = loop.scheduleWithFixedDelay(this::retire, sweep, sweep, TimeUnit.NANOSECONDS);
     }
 
+    /** Takes new settings over; connections that are open go on. */
+    void retune(Options options) {
+        connectTimeoutMs = Math.max(1, (int) (options.number("caps.connectTimeout", 1e9) / 1e6));
+        // An upstream closes at its idle time; a tenth before it, no request can cross that on its way.
+        keepIdle = (long) (options.number("caps.connIdle", 5e9) * 0.9);
+        reportFields = options.list("report.fields");
+    }
+
     /**
      * Takes over what the list says of an upstream. Once it is no longer ready, nothing not yet written goes
      * there: who waits for a connection is told that none came, idle connections are closed. So are those to
--- /dev/null
+++ b/src/main/java/pondridge/sidecar/classes/ClassTable.java
@@ -0,0 +1,55 @@
+package pondridge.sidecar.classes;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import pondridge.Balancer.RequestClass;
+import pondridge.Balancer.Scope;
+import pondridge.Balancer.Semantics;
+
+/**
+ * Gives each class its number. A class is known by its name and its effect: under another effect the same
+ * name is another class with a number of its own, so that a number means one thing for as long as the sidecar
+ * runs, and a request that is open keeps the rules it came under.
+ */
+public final class ClassTable {
+    /** A class as requests name it. */
+    public record Entry(int number, String name, RequestClass rules) { }
+
+    /** What a request does and where it may be repeated; aims, deadlines and worth may change without it. */
+    private record Identity(String name, Semantics semantics, Scope scope, long keyTtl, boolean stream) {
+        private static Identity of(String name, RequestClass rules) {
+            return new Identity(name, rules.semantics(), rules.scope(), rules.keyTtl(), rules.stream());
+        }
+    }
+
+    private final Map<Identity, Integer> numbers = new HashMap<>();
+    private final List<RequestClass> rules = new ArrayList<>();
+    private final Map<String, Entry> current = new HashMap<>();
+
+    /** Takes over the classes that are in force from now on. */
+    public void take(List<String> names, List<RequestClass> classes) {
+        current.clear();
+        for (int i = 0; i < names.size(); i++) {
+            RequestClass each = classes.get(i);
+            int number = numbers.computeIfAbsent(Identity.of(names.get(i), each), added -> numbers.size());
+            if (number == rules.size()) {
+                rules.add(each);
+            } else {
+                rules.set(number, each);
+            }
+            current.put(names.get(i), new Entry(number, names.get(i), each));
+        }
+    }
+
+    /** The class in force under a name, or null. */
+    public Entry named(String name) {
+        return current.get(name);
+    }
+
+    /** All classes by number; those no longer in force as they last were, for requests that are open. */
+    public List<RequestClass> rules() {
+        return List.copyOf(rules);
+    }
+}
--- /dev/null
+++ b/src/main/java/pondridge/sidecar/classes/package-info.java
@@ -0,0 +1,2 @@
+/** The classes of request, over every configuration that a sidecar has taken. */
+package pondridge.sidecar.classes;
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -26,6 +26,7 @@
 import pondridge.Balancer.Discovery;
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.Outcome;
+import pondridge.Balancer.Settings;
 import pondridge.Balancer.State;
 
 class RulesTest {
@@ -605,6 +606,35 @@
         assertEquals(before, host.log.size());
     }
 
+    /** New settings take nothing away: not what is in flight, not who is ill, not an open call's rules. */
+    @Test
+    void retunedModuleKeepsWhatItKnows() {
+        Recorder host = host(REPEATABLE).withUpstreams(3);
+        host.request(1, 0);
+        Recorder.Sent first = host.last();
+        host.request(2, 0);
+        long ill = host.last().upstream();
+        host.outcome(host.last(), Outcome.CONNECT_FAILED);
+        host.outcome(host.last(), Outcome.OK);
+        Settings base = settings(REPEATABLE, ONCE);
+        Balancer.Allowed few = new Balancer.Allowed(true, false, false, true, true, 1, 1_000 * MS, 250 * MS);
+        host.rules.retuned(host.now, new Settings(0, 3, 0, 5 * MS, base.discovery(), base.weights(),
+                base.classes(), List.of(), few, base.limits(), List.of(), base.charges(), false, 1));
+        assertEquals(1, host.rules.avoided(host.now));
+        host.request(3, 0);
+        assertNotEquals(first.upstream(), host.last().upstream(), "what is in flight still counts");
+        assertNotEquals(ill, host.last().upstream());
+        host.outcome(host.last(), Outcome.REJECTED);
+        assertEquals("refuse 3", host.answers.get(host.answers.size() - 1), "one try is the limit now");
+        host.outcome(first, Outcome.RESET);
+        assertEquals(1, host.last().request(), "an open call keeps its tries");
+        assertNotEquals(first.upstream(), host.last().upstream());
+        host.request(4, 1);
+        assertEquals(4, host.last().request());
+        host.outcome(host.last(), Outcome.RESET);
+        assertEquals("fail 4", host.answers.get(host.answers.size() - 1), "a new class has its own effect");
+    }
+
     /** The operators' figure is the module's own view, and looking changes nothing. */
     @Test
     void avoidedUpstreamsAreCounted() {
--- a/src/test/java/pondridge/sidecar/Bed.java
+++ b/src/test/java/pondridge/sidecar/Bed.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import pondridge.sidecar.admin.AdminServer;
+import pondridge.sidecar.classes.ClassTable;
 import pondridge.sidecar.lifecycle.Lifecycle;
 import pondridge.sidecar.listen.ClientListener;
 import pondridge.sidecar.metrics.Metrics;
@@ -38,8 +39,9 @@
 
     Bed(ObjectNode json) throws Exception {
         Config config = Config.of(json);
-        engine = new Engine(loop, config, MOST, metrics);
-        frontend = new Frontend(loop, engine, config.options(), MOST, lifecycle);
+        ClassTable classes = new ClassTable();
+        engine = new Engine(loop, config, MOST, metrics, classes);
+        frontend = new Frontend(loop, engine, classes, config.options().names("parties"), MOST, lifecycle);
         loop.submit(() -> engine.start(config.known())).sync();
         clients = ClientListener.binding(config.listen());
         address = (InetSocketAddress) clients.open(group, frontend.connections()).sync().channel()
--- a/src/test/java/pondridge/sidecar/ConfigTest.java
+++ b/src/test/java/pondridge/sidecar/ConfigTest.java
@@ -6,8 +6,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import pondridge.Balancer.Semantics;
 import pondridge.Balancer.Settings;
 
@@ -46,6 +49,60 @@
         assertNames("limits.sockets", json);
     }
 
+    /** A file that lost its end, or had another pasted to it, must not pass. */
+    @Test
+    void truncatedFileIsTurnedDownWhereverItWasCut(@TempDir Path folder) throws Exception {
+        String whole = Bed.json().toString();
+        Path file = folder.resolve("config.json");
+        for (int length = 0; length < whole.length(); length++) {
+            Files.writeString(file, whole.substring(0, length));
+            assertThrows(IllegalArgumentException.class, () -> Config.read(file), "cut at " + length);
+        }
+        String twice = whole.replaceFirst("\\{", "{\"seed\":\"1\",");
+        for (String bad : List.of(whole + whole, whole + "}", twice)) {
+            Files.writeString(file, bad);
+            assertThrows(IllegalArgumentException.class, () -> Config.read(file), bad);
+        }
+        Files.writeString(file, whole);
+        assertEquals("n0", Config.read(file).name());
+    }
+
+    @Test
+    void deadlinesAndAttemptsAreNumbersAboveNought() throws Exception {
+        for (String bad : List.of("0", "-1", "\"soon\"", "\"5\"", "null", "true", "[5]", "{}")) {
+            ObjectNode json = Bed.json();
+            json.withObject("/settings/caps").set("tryLimit", Config.JSON.readTree(bad));
+            assertNames("caps.tryLimit", json);
+            json = Bed.json();
+            ((ObjectNode) json.at("/settings/profiles/1")).set("deadline", Config.JSON.readTree(bad));
+            assertNames("profiles.1.deadline", json);
+        }
+    }
+
+    /** Whatever a running sidecar has been told it must be told again: no default may creep in. */
+    @Test
+    void runningSidecarTakesNoFileThatMissesAKey() throws Exception {
+        Config inForce = Config.of(Bed.json());
+        inForce.requireFit(inForce);
+        for (String at : List.of("/settings/caps/connIdle", "/settings/rules/askWithin", "/limits/cores",
+                "/settings/zones", "/known", "/name")) {
+            ObjectNode json = Bed.json();
+            int slash = at.lastIndexOf('/');
+            String key = at.substring(slash + 1);
+            ((ObjectNode) json.at(at.substring(0, slash))).remove(key);
+            String message = assertThrows(IllegalArgumentException.class,
+                    () -> Config.of(json).requireFit(inForce)).getMessage();
+            assertTrue(message.contains(key), message);
+        }
+        ObjectNode json = Bed.json();
+        json.withObject("/settings").put("discovery", "subscribe");
+        Config other = Config.of(json);
+        assertThrows(IllegalArgumentException.class, () -> other.requireFit(inForce));
+        json = Bed.json();
+        json.withObject("/settings").withArray("/profiles").remove(0);
+        Config.of(json).requireFit(inForce);
+    }
+
     private static void assertNames(String key, ObjectNode json) {
         String message = assertThrows(IllegalArgumentException.class, () -> Config.of(json)).getMessage();
         assertTrue(message.contains(key) && message.lines().count() == 1, message);
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -15,7 +16,9 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import pondridge.sidecar.classes.ClassTable;
 
 /** The whole sidecar between a client and upstreams on loopback. */
 class SidecarTest {
@@ -254,6 +257,60 @@
         }
     }
 
+    /**
+     * SIGHUP under way: an open request keeps its class and its tries, a class of the same name and another
+     * effect is taken at once, one that went is unknown, and the figures show a new one from 0.
+     */
+    @Test
+    void newSettingsHoldForNewRequestsAlone() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Stub.Script script = (socket, head) -> {
+            try {
+                return switch (Stub.header(head, "Req-Id")) {
+                    case "open" -> go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reset(socket);
+                    case "bad", "unsafe" -> Stub.reply(socket, "500 No", "", "");
+                    default -> Stub.reply(socket, "200 OK", "", "x");
+                };
+            } catch (InterruptedException e) {
+                return false;
+            }
+        };
+        try (Stub one = new Stub(script); Stub two = new Stub(script); Bed bed = Bed.with(one, two);
+                Bed.Client open = new Bed.Client(bed.address)) {
+            Stub.write(open.socket, Bed.look("open"));
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Stub.LIMIT_S);
+            while (one.heads.size() + two.heads.size() == 0) {
+                assertTrue(System.nanoTime() < end);
+                Thread.sleep(5);
+            }
+            ObjectNode json = Bed.json(one, two);
+            json.withObject("/settings/caps").put("tryLimit", 1);
+            ArrayNode profiles = json.withObject("/settings").withArray("/profiles");
+            ((ObjectNode) profiles.get(0)).put("semantics", "once");
+            profiles.remove(1);
+            profiles.addObject().put("name", "fresh").put("slo", 1_000_000_000L)
+                    .put("deadline", 2_000_000_000L).put("semantics", "repeatable");
+            Config next = Config.of(json);
+            bed.loop.submit(() -> bed.engine.reconfigure(next)).sync();
+            assertEquals(400, bed.ask(Bed.look("a")).status(), "an unsafe class takes no GET");
+            assertEquals(400, bed.ask(Bed.post("hold", "Idempotency-Key: 1\r\n", "")).status(), "went");
+            assertTrue(bed.loop.submit(() -> bed.metrics.text(bed.engine)).get()
+                    .contains("app.tries.fresh=0\n"));
+            // The module has no second tries to spare while many requests fail: let most be served.
+            for (int i = 0; i < 30; i++) {
+                assertEquals(200, bed.ask(Bed.look("c" + i).replace("look", "fresh")).status());
+            }
+            assertEquals(502, bed.ask(Bed.post("look", "", "").replace("9b1f", "unsafe")).status());
+            assertEquals(503, bed.ask(Bed.look("bad").replace("look", "fresh")).status());
+            assertTrue(bed.loop.submit(() -> bed.metrics.text(bed.engine)).get()
+                    .contains("app.tries.fresh=31\n"), "one try is the limit");
+            go.countDown();
+            assertEquals(503, open.read().status(), "harmless, as it was when the request came");
+            assertEquals(2, Stream.concat(one.heads.stream(), two.heads.stream())
+                    .filter(head -> head.contains("Req-Id: open")).count(), "and tried again, as it was");
+        }
+    }
+
     @Test
     void drainingSidecarAnswersWhatItHoldsAndEndsItsConnections() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
@@ -398,8 +455,8 @@
     private static WeakReference<byte[]> answered(Bed bed) throws Exception {
         byte[] body = new byte[1000];
         CountDownLatch done = new CountDownLatch(1);
-        Engine.Job job = new Engine.Job(2, 0, 0, 600_000, 0, false, HttpMethod.POST, "/api/x",
-                new DefaultHttpHeaders(), body);
+        Engine.Job job = new Engine.Job(new ClassTable.Entry(2, "book", null), 0, 0, 600_000, 0, false,
+                HttpMethod.POST, "/api/x", new DefaultHttpHeaders(), body);
         bed.loop.execute(() -> bed.engine.submit(job, new Engine.Client() {
             @Override
             public void served(Engine.Answer answer) {
