Bulk: large bodies stream both ways under one byte budget, with backpressure

A request of 64 KiB hung in a test: a write told of a change of writability from within the encoder, which the pump then entered again. Ruled out: the body's own bookkeeping (tried alone) and the encoder's counts.

--- a/src/main/java/pondridge/Balancer.java
+++ b/src/main/java/pondridge/Balancer.java
@@ -239,6 +239,18 @@
     /** A client's request has arrived. */
     void request(long now, Request request);
 
+    /**
+     * A client's request has arrived but for the end of its body, which is passed on as it comes. Its
+     * client's time begins with {@link #requestWhole}.
+     */
+    void requestBegun(long now, Request request);
+
+    /** The last byte of a request's body has come. */
+    void requestWhole(long now, long request);
+
+    /** A request's body is no longer held: after the attempt that has read it there can be no other. */
+    void unrepeatable(long now, long request);
+
     /** A streamed answer has begun: its attempt belongs to the client, its deadline no longer holds. */
     void firstByte(long now, long request, int attempt, long upstream, long elapsed);
 
--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -59,19 +59,48 @@
 
     @Override
     public void request(long now, Request request) {
+        open(now, request, false);
+    }
+
+    @Override
+    public void requestBegun(long now, Request request) {
+        open(now, request, true);
+    }
+
+    private void open(long now, Request request, boolean arriving) {
         if (request.requestClass() >= settings.classes().size()) {
             throw new IllegalArgumentException("request of unknown class " + request.requestClass());
         }
-        Call call = ledger.open(now, request);
+        Call call = ledger.open(now, request, arriving);
         admission.admit(now, call);
         alarms.flush();
     }
 
+    @Override
+    public void requestWhole(long now, long request) {
+        Call call = ledger.calls.get(request);
+        if (call != null && call.arriving) {
+            ledger.whole(now, call);
+            alarms.flush();
+        }
+    }
+
+    @Override
+    public void unrepeatable(long now, long request) {
+        Call call = ledger.calls.get(request);
+        if (call != null) {
+            call.unrepeatable = true;
+        }
+    }
+
     @Override
     public void firstByte(long now, long request, int attempt, long upstream, long elapsed) {
         Call call = ledger.calls.get(request);
         if (call != null && attempt < call.attempts.size()) {
             call.streaming = true;
+            ledger.settle(now, call.attempts.get(attempt), Outcome.OK, call);
+            admission.drain(now);
+            alarms.flush();
         }
     }
 
@@ -231,15 +260,19 @@
     private static final class Attempt {
         final Server server;
         final long sentAt;
-        final int crowd;
         final double found;
+        /** When the upstream had the whole request, and how much it had before; from then it is in flight. */
+        long wholeAt;
+        int crowd;
+        boolean inFlight;
+        boolean settled;
         boolean out = true;
         boolean mayHaveRun = true;
 
         Attempt(Server server, long sentAt) {
             this.server = server;
             this.sentAt = sentAt;
-            this.crowd = server.inFlight;
+            this.wholeAt = sentAt;
             this.found = server.holds++;
         }
     }
@@ -248,9 +281,12 @@
         final Request request;
         final RequestClass kind;
         final int tryLimit;
-        final long deadline;
         final long aim;
-        final long aimAt;
+        private final long elapsed;
+        long deadline;
+        long aimAt;
+        boolean arriving;
+        boolean unrepeatable;
         final List<Attempt> attempts = new ArrayList<>(2);
         boolean closed;
         boolean held;
@@ -265,10 +301,27 @@
             this.request = request;
             this.kind = kind;
             this.tryLimit = tryLimit;
-            this.deadline = now + request.timeLeft();
+            this.elapsed = elapsed;
             double stretched = kind.aim() + kind.aimStretch() * request.costHint();
             this.aim = (long) Math.min(stretched, kind.deadline());
-            this.aimAt = now - elapsed + Math.min(request.timeLeft() + elapsed, aim);
+            startClock(now);
+        }
+
+        /** The client's time runs from now on. */
+        void startClock(long now) {
+            deadline = now + request.timeLeft();
+            aimAt = now - elapsed + Math.min(request.timeLeft() + elapsed, aim);
+        }
+
+        /** While its body is on its way to an upstream, the time is the client's own. */
+        void stopClock() {
+            deadline = Long.MAX_VALUE;
+            aimAt = Long.MAX_VALUE;
+        }
+
+        /** Held for longer, half of such requests would be late. */
+        long hopelessAt() {
+            return aimAt - (long) (1.5 * expected);
         }
 
         /** Whether the last attempt is out; there is never more than one. */
@@ -281,19 +334,67 @@
     private final class Ledger {
         private final Map<Long, Call> calls = new HashMap<>();
 
-        Call open(long now, Request request) {
+        Call open(long now, Request request, boolean arriving) {
             Call call = new Call(request, settings.classes().get(request.requestClass()),
                     settings.allowed().tryLimit(), now, admission.elapsed(request));
             // Danger: answers of no time would bring alarms an expected time apart to a stand.
             call.expected = Math.max(call.aim / 1000.0,
                     health.usual.get(request.requestClass()).expected(request.costHint()));
+            call.arriving = arriving;
             calls.put(request.id(), call);
+            endAtDeadline(call);
+            return call;
+        }
+
+        private void endAtDeadline(Call call) {
             alarms.set(call.deadline, at -> {
-                if (!call.streaming) {
+                if (!call.streaming && at >= call.deadline) {
                     answer(call);
                 }
             });
-            return call;
+        }
+
+        /** The body's end has come: its time and the attempt that reads it count from now on. */
+        void whole(long now, Call call) {
+            call.arriving = false;
+            startClock(now, call);
+            if (call.waiting()) {
+                Attempt attempt = call.attempts.get(call.attempts.size() - 1);
+                attempt.wholeAt = now;
+                takeOff(now, attempt, call);
+            }
+        }
+
+        private void startClock(long now, Call call) {
+            call.startClock(now);
+            endAtDeadline(call);
+            if (call.held) {
+                admission.endWhenHopeless(now, call);
+            }
+        }
+
+        private void takeOff(long now, Attempt attempt, Call call) {
+            attempt.crowd = attempt.server.inFlight++;
+            attempt.inFlight = true;
+            health.loaded(now, attempt.server, call);
+        }
+
+        /** What an attempt tells of its server, once: as its answer begins, or as it ends without one. */
+        void settle(long now, Attempt attempt, Outcome outcome, Call call) {
+            if (attempt.settled) {
+                return;
+            }
+            attempt.settled = true;
+            if (attempt.inFlight) {
+                attempt.server.inFlight--;
+            }
+            health.ended(now, attempt, outcome, call);
+            if (outcome != Outcome.CONNECT_FAILED) {
+                admission.ended(now, attempt, outcome, call);
+            }
+            if (outcome == Outcome.OK) {
+                roster.served.add(now, roster.work(call));
+            }
         }
 
         /** The first attempt that may have run, or null while every one is proven not to have. */
@@ -308,7 +409,7 @@
 
         /** Whether some further attempt is allowed now, whichever server it goes to. */
         boolean mayTryAgain(long now, Call call) {
-            if (call.closed || call.streaming || now >= call.deadline
+            if (call.closed || call.streaming || call.unrepeatable || now >= call.deadline
                     || call.waiting() || call.attempts.size() >= call.tryLimit) {
                 return false;
             }
@@ -347,9 +448,13 @@
             call.held = false;
             call.asked = false;
             call.looked = List.of();
-            health.sent(now, server, call);
+            health.sent(now, server);
             server.coldTokens -= roster.work(call);
-            server.inFlight++;
+            if (call.arriving) {
+                call.stopClock();
+            } else {
+                takeOff(now, attempt, call);
+            }
             // Danger: work past its aim keeps a core from work that can still be in time. It is given up only
             // where looks show what an upstream holds; elsewhere given-up work would run on unseen.
             boolean worthless = reports.looks() && call.kind.lateShare() == 0 && call.aimAt > now;
@@ -364,19 +469,14 @@
             Attempt attempt = call.attempts.get(number);
             attempt.out = false;
             attempt.mayHaveRun = !outcome.provesNeverRan();
-            Server server = attempt.server;
-            server.inFlight--;
-            health.ended(now, attempt, outcome, call);
-            if (outcome != Outcome.CONNECT_FAILED) {
-                admission.ended(now, attempt, outcome, call);
-            }
-            if (outcome == Outcome.OK) {
-                roster.served.add(now, roster.work(call));
-            }
+            settle(now, attempt, outcome, call);
             if (ended || call.closed) {
                 close(call);
                 return;
             }
+            if (call.arriving) {
+                startClock(now, call);
+            }
             // Danger: held for a further attempt with every server tried, it would wait in vain.
             if (mayTryAgain(now, call) && roster.ready.stream().anyMatch(next -> mayGoTo(call, next))
                     && admission.worthRetry(now, call)) {
@@ -631,9 +731,12 @@
             server.integratedAt = now;
         }
 
-        void sent(long now, Server server, Call call) {
+        void loaded(long now, Server server, Call call) {
             integrate(now, server);
             server.load += 1 / call.expected;
+        }
+
+        void sent(long now, Server server) {
             if (server.nextTrial > 0) {
                 server.backoff = Math.min(server.backoff * 2, firstBackoff * 8);
                 server.nextTrial = now + server.backoff;
@@ -681,13 +784,15 @@
         void ended(long now, Attempt attempt, Outcome outcome, Call call) {
             Server server = attempt.server;
             integrate(now, server);
-            server.load = server.inFlight == 0 ? 0 : Math.max(0, server.load - 1 / call.expected);
+            if (attempt.inFlight) {
+                server.load = server.inFlight == 0 ? 0 : Math.max(0, server.load - 1 / call.expected);
+            }
             switch (outcome) {
                 case OK -> {
-                    reports.learn(attempt, now - attempt.sentAt);
-                    learnPace(server, (now - attempt.sentAt) / call.expected);
-                    usual.get(call.request.requestClass())
-                            .learn(now - attempt.sentAt, call.request.costHint());
+                    long took = now - attempt.wholeAt;
+                    reports.learn(attempt, took);
+                    learnPace(server, took / call.expected);
+                    usual.get(call.request.requestClass()).learn(took, call.request.costHint());
                     heard(server);
                 }
                 case ERROR, RESET -> {
@@ -804,16 +909,19 @@
                 call.held = true;
                 share(call).held.push(call);
                 held++;
-                long hopeless = call.aimAt - (long) (1.5 * call.expected);  // later, half would be late
-                alarms.set(Math.max(now + 1, hopeless), at -> {
-                    if (call.held) {
-                        ledger.answer(call);
-                    }
-                });
+                endWhenHopeless(now, call);
                 drain(now);
             }
         }
 
+        void endWhenHopeless(long now, Call call) {
+            alarms.set(Math.max(now + 1, call.hopelessAt()), at -> {
+                if (call.held && at >= call.hopelessAt()) {
+                    ledger.answer(call);
+                }
+            });
+        }
+
         /**
          * The part of new requests to shed. Danger: where many sidecars keep one in flight each, no limit per
          * upstream binds; once work is answered too late, upstreams work for nobody until much less is sent.
@@ -871,8 +979,11 @@
             Server server = attempt.server;
             tried.add(now, 1);
             inTime.add(now, outcome == Outcome.OK && now <= call.aimAt ? 1 : 0);
+            if (!attempt.inFlight) {
+                return;
+            }
             Usual usual = health.usual.get(call.request.requestClass());
-            double scaled = (now - attempt.sentAt) * usual.mean / call.expected;
+            double scaled = (now - attempt.wholeAt) * usual.mean / call.expected;
             if (outcome == Outcome.REJECTED || scaled > LATE * call.aim) {
                 if (attempt.sentAt >= server.lastCut) {
                     server.limit = Math.max(0.1, server.limit * 0.8);
--- a/src/main/java/pondridge/sidecar/Config.java
+++ b/src/main/java/pondridge/sidecar/Config.java
@@ -30,6 +30,8 @@
             .with(StreamReadFeature.STRICT_DUPLICATE_DETECTION);
     /** Settings that the module, or what it knows, can't change while it runs. */
     private static final List<String> FIXED = List.of("discovery", "parties");
+    private static final long MB = 1 << 20;
+    private static final long LEAST_MB = 96;
     private static final int FEWEST_SOCKETS = 64;
     private static final int RESERVED = 40;
 
@@ -124,6 +126,11 @@
         return sockets * 3 / 8;
     }
 
+    /** What bodies may hold of the memory: the JVM and its heap's spare room need most of it. */
+    long bodyBytes() {
+        return root.path("limits").path("memory_mb").asLong(LEAST_MB) * MB / 12;
+    }
+
     /** The rest, but for what the JVM, the listening, discovery and operators hold. */
     int mostUpstream() {
         int operators = admin == null ? 0 : AdminServer.MOST_CONNECTIONS;
--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -1,7 +1,6 @@
 package pondridge.sidecar;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -9,12 +8,15 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -25,6 +27,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -33,7 +36,6 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.math.RoundingMode;
@@ -47,6 +49,9 @@
 import pondridge.Balancer.Semantics;
 import pondridge.sidecar.classes.ClassTable;
 import pondridge.sidecar.lifecycle.Lifecycle;
+import pondridge.sidecar.stream.ByteBudget;
+import pondridge.sidecar.stream.RequestBody;
+import pondridge.sidecar.stream.Source;
 
 /**
  * The application's side: reads requests, answers each once, and tells malformed ones so itself. A client
@@ -54,15 +59,15 @@
  * request takes.
  */
 final class Frontend {
-    private static final int LARGEST_BODY = 1 << 16;
+    private static final int LARGEST_BODY = 1 << 25;
     private static final int LONGEST_ID = 128;
     private static final String KEY = "Idempotency-Key";
-    /** From the connecting, on a used connection from the request's first byte, to its last one. */
+    /** From the connecting, or a used connection's first byte, to a head's end; then without a byte. */
     private static final long REQUEST_TIME = 2_500_000_000L;
     /** Clients keep connections; one that is not used for so long is not missed. */
     private static final long IDLE_TIME = 3_000_000_000L;
-    /** A client that does not take its answer holds memory. */
-    private static final long TAKE_TIME = 5_000_000_000L;
+    /** A client that takes nothing of its answer holds memory; a slow one takes some now and then. */
+    private static final long TAKE_TIME = 15_000_000_000L;
     /** After an error is told: a close with bytes unread would reset the connection and lose the error. */
     private static final long LINGER_TIME = 1_000_000_000L;
     private static final int LINGER_BYTES = 1 << 20;
@@ -87,11 +92,13 @@
     private final Set<String> ids = new HashSet<>();
     private final ArrayDeque<Past> past = new ArrayDeque<>();
     private final Lifecycle lifecycle;
+    private final ByteBudget budget;
 
     /** Serves on this loop. */
     Frontend(EventLoop loop, Engine engine, ClassTable classes, List<String> tenantNames, int mostConnections,
-            Lifecycle lifecycle) {
+            Lifecycle lifecycle, ByteBudget budget) {
         this.engine = engine;
+        this.budget = budget;
         this.lifecycle = lifecycle;
         this.classes = classes;
         this.tenantNames = tenantNames;
@@ -148,16 +155,24 @@
 
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Engine.Client {
         private final Channel channel;
-        /** What came while a request was open. Such a client is read no further: it is one read's worth. */
+        /** What came behind an open request. Such a client is read no further: it is one read's worth. */
         private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>(1);
         private Stage stage = Stage.NEW;
         private long since = System.nanoTime();
         private int lingered;
         private Engine.Job job;
-        private ByteArrayOutputStream body;
+        private RequestBody body;
+        /** Whether the end of the body is still to come. */
+        private boolean incoming;
         private boolean keepAlive;
+        private boolean oldVersion;
         private String id;
+        private boolean idTaken;
         private long request;
+        /** Where the rest of an answer comes from that is passed on as it comes; null if none is. */
+        private Source source;
+        private boolean paused;
+        private long unsent;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -207,17 +222,19 @@
                 channel.close();
                 return;
             }
+            // Who is kept waiting by the sidecar is not late.
+            boolean mute = incoming && channel.config().isAutoRead();
             long limit = switch (stage) {
                 case LINGERING -> LINGER_TIME;
                 case IDLE -> IDLE_TIME;
-                case ANSWERED -> TAKE_TIME;
-                case ASKED -> Long.MAX_VALUE;
+                case ANSWERED -> source != null && unsent == 0 ? Long.MAX_VALUE : TAKE_TIME;
+                case ASKED -> mute ? REQUEST_TIME : Long.MAX_VALUE;
                 default -> REQUEST_TIME;
             };
             if (now - since <= limit) {
                 return;
             }
-            if (stage == Stage.READING) {
+            if (stage == Stage.READING || stage == Stage.ASKED) {
                 reject(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time");
             } else {
                 channel.close();
@@ -230,7 +247,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-            if (occupied() || !waiting.isEmpty()) {
+            if (!waiting.isEmpty() || occupied() && !incoming) {
                 channel.config().setAutoRead(false);
                 waiting.add(ReferenceCountUtil.retain(message));
             } else {
@@ -250,28 +267,58 @@
                 begin(head);
             }
             if (message instanceof HttpContent content && stage != Stage.LINGERING) {
-                if (body.size() + content.content().readableBytes() > LARGEST_BODY) {
-                    reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
-                    return;
+                add(content);
+            }
+        }
+
+        /**
+         * More of the body has come. It is held until it is whole or its share of the memory is full; only
+         * then is the request passed on, so that an upstream is chosen late and can be chosen again.
+         */
+        private void add(HttpContent content) {
+            since = System.nanoTime();
+            if (body.received() + content.content().readableBytes() > LARGEST_BODY) {
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
+                return;
+            }
+            body.add(content.content());
+            if (content instanceof LastHttpContent) {
+                incoming = false;
+                body.end();
+                if (stage == Stage.READING) {
+                    submit();
                 }
-                body.writeBytes(ByteBufUtil.getBytes(content.content()));
-                if (message instanceof LastHttpContent) {
-                    end();
+            } else if (body.full()) {
+                channel.config().setAutoRead(false);
+                if (stage == Stage.READING) {
+                    submit();
                 }
             }
         }
 
+        /** There is room for more of the body. */
+        private void readOn() {
+            if (waiting.isEmpty() && !channel.config().isAutoRead()) {
+                since = System.nanoTime();
+                channel.config().setAutoRead(true);
+            }
+        }
+
         /** Looks at all that a request's head tells, so that the body of a bad one need not come. */
         private void begin(HttpRequest head) {
             stage = Stage.READING;
+            since = System.nanoTime();
             keepAlive = HttpUtil.isKeepAlive(head);
+            oldVersion = head.protocolVersion().minorVersion() == 0;
             job = null;
-            body = new ByteArrayOutputStream(0);
+            body = new RequestBody(budget, HttpUtil.getContentLength(head, -1L));
+            body.onRoom(this::readOn);
+            incoming = true;
             String path = path(head.uri());
             try {
                 framed(head);
                 if (path.equals("/api") || path.startsWith("/api/")) {
-                    job = job(head, path);
+                    job = job(head, path, body);
                     id = head.headers().get("Req-Id");
                 } else if (!path.equals("/up")) {
                     reject(HttpResponseStatus.NOT_FOUND, "no such path");
@@ -289,22 +336,22 @@
             }
         }
 
-        /** The request is whole. */
-        private void end() {
+        /** The request is whole, or has as much as may be held of it. */
+        private void submit() {
             if (job == null) {
                 answer(plain(lifecycle.takesClients() ? HttpResponseStatus.OK
                         : HttpResponseStatus.SERVICE_UNAVAILABLE, ""));
                 return;
             }
-            if (!ids.add(id)) {
+            idTaken = ids.add(id);
+            if (!idTaken) {
                 reject(HttpResponseStatus.CONFLICT, "Req-Id in use");
                 return;
             }
-            Engine.Job whole = job.with(body.toByteArray());
+            Engine.Job taken = job;
             job = null;
-            body = null;
             enter(Stage.ASKED);
-            long number = engine.submit(whole, this);
+            long number = engine.submit(taken, this);
             // The answer may have come within that call.
             if (stage == Stage.ASKED) {
                 request = number;
@@ -334,16 +381,94 @@
             answer(plain(HttpResponseStatus.BAD_GATEWAY, "failed"));
         }
 
+        @Override
+        public void begun(Engine.Answer first, long length, Source rest) {
+            enter(Stage.ANSWERED);
+            source = rest;
+            budget.enter();
+            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            response.headers().set(first.headers()).remove(HttpHeaderNames.CONTENT_LENGTH);
+            if (length >= 0) {
+                HttpUtil.setContentLength(response, length);
+            } else if (oldVersion) {
+                keepAlive = false;
+            } else {
+                HttpUtil.setTransferEncodingChunked(response, true);
+            }
+            keepAlive = keeps();
+            if (!keepAlive) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            channel.write(response);
+            more(Unpooled.wrappedBuffer(first.body()));
+        }
+
+        @Override
+        public void more(ByteBuf bytes) {
+            int size = bytes.readableBytes();
+            unsent += size;
+            channel.writeAndFlush(new DefaultHttpContent(bytes)).addListener(done -> taken(size));
+            if (unsent > budget.share() && source != null && !paused) {
+                paused = true;
+                source.pause();
+            }
+        }
+
+        /** The client's side has taken some of an answer. */
+        private void taken(int size) {
+            unsent -= size;
+            since = System.nanoTime();
+            if (paused && source != null && unsent <= budget.share() / 2) {
+                paused = false;
+                source.resume();
+            }
+        }
+
+        @Override
+        public void finished() {
+            endFlow();
+            end(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepAlive);
+        }
+
+        /** Short of its length or of its last chunk an answer is seen to be cut; else only a reset tells. */
+        @Override
+        public void cut() {
+            endFlow();
+            if (oldVersion) {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        private void endFlow() {
+            forget();
+            source = null;
+            paused = false;
+            budget.leave();
+        }
+
+        /** Whether the connection stays: a request that has been read already must be answered first. */
+        private boolean keeps() {
+            return keepAlive && (!lifecycle.emptying() || !waiting.isEmpty());
+        }
+
         private void answer(FullHttpResponse response) {
+            if (incoming) {
+                // Where the rest of the body ends, if it comes at all, is of no interest any more.
+                end(response);
+                return;
+            }
             forget();
             enter(Stage.ANSWERED);
-            // A request that has been read already must be answered before the connection may end.
-            boolean keep = keepAlive && (!lifecycle.emptying() || !waiting.isEmpty());
+            boolean keep = keeps();
             HttpUtil.setContentLength(response, response.content().readableBytes());
             if (!keep) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
-            ChannelFuture written = channel.writeAndFlush(response);
+            end(channel.writeAndFlush(response), keep);
+        }
+
+        private void end(ChannelFuture written, boolean keep) {
             if (!keep) {
                 written.addListener(ChannelFutureListener.CLOSE);
                 return;
@@ -357,7 +482,7 @@
 
         /** Goes on with what came meanwhile. */
         private void proceed() {
-            while (!waiting.isEmpty() && !occupied()) {
+            while (!waiting.isEmpty() && (incoming || !occupied())) {
                 HttpObject next = waiting.poll();
                 try {
                     take(next);
@@ -365,28 +490,40 @@
                     ReferenceCountUtil.release(next);
                 }
             }
-            if (waiting.isEmpty() && !occupied() && lingered <= LINGER_BYTES) {
+            if (waiting.isEmpty() && (incoming ? !body.full() : !occupied()) && lingered <= LINGER_BYTES) {
                 channel.config().setAutoRead(true);
             }
         }
 
         /** The request that was open is no more. */
         private void forget() {
-            if (stage == Stage.ASKED) {
+            if (idTaken) {
                 past.add(new Past(id, System.nanoTime()));
+                idTaken = false;
             }
             request = 0;
+            if (body != null) {
+                body.discard();
+            }
         }
 
-        /** Tells an error, sends no more, and for a while reads on what is dropped unseen. */
         private void reject(HttpResponseStatus status, String text) {
+            long open = request;
+            end(plain(status, text));
+            if (open != 0) {
+                engine.hangup(open);
+            }
+        }
+
+        /** Answers, sends no more, and for a while reads on what is dropped unseen. */
+        private void end(FullHttpResponse response) {
             enter(Stage.LINGERING);
             job = null;
-            body = null;
+            incoming = false;
+            forget();
             waiting.forEach(ReferenceCountUtil::release);
             waiting.clear();
             channel.config().setAutoRead(true);
-            FullHttpResponse response = plain(status, text);
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             HttpUtil.setContentLength(response, response.content().readableBytes());
             channel.writeAndFlush(response).addListener(done -> ((DuplexChannel) channel).shutdownOutput());
@@ -396,8 +533,12 @@
         public void channelInactive(ChannelHandlerContext context) {
             connections.remove(this);
             long open = request;
+            if (source != null) {
+                endFlow();
+            }
             forget();
             enter(Stage.LINGERING);
+            incoming = false;
             waiting.forEach(ReferenceCountUtil::release);
             waiting.clear();
             if (open != 0) {
@@ -457,7 +598,7 @@
         }
     }
 
-    private Engine.Job job(HttpRequest message, String path) {
+    private Engine.Job job(HttpRequest message, String path, RequestBody body) {
         if (header(message, "Req-Id").length() > LONGEST_ID) {
             throw new IllegalArgumentException("Req-Id too long");
         }
@@ -483,8 +624,8 @@
         long wait = Math.min(number(message, "Req-Deadline-Ms"), kind.rules().deadline() / 1_000_000);
         long cost = message.headers().contains("Req-Cost") ? number(message, "Req-Cost") * 1000 : 0;
         return new Engine.Job(kind, tenant, key(path), wait, cost,
-                "1".equals(message.headers().get("Req-Retry")), method, message.uri(), message.headers(),
-                new byte[0]);
+                "1".equals(message.headers().get("Req-Retry")), semantics != Semantics.REPEATABLE,
+                new Message(method, message.uri(), message.headers()), body);
     }
 
     private static String header(HttpRequest message, String name) {
--- a/src/main/java/pondridge/sidecar/Sidecar.java
+++ b/src/main/java/pondridge/sidecar/Sidecar.java
@@ -15,6 +15,7 @@
 import pondridge.sidecar.lifecycle.Lifecycle;
 import pondridge.sidecar.listen.ClientListener;
 import pondridge.sidecar.metrics.Metrics;
+import pondridge.sidecar.stream.ByteBudget;
 
 /** One running sidecar: its parts, and the order in which they start and end. On the event loop alone. */
 final class Sidecar {
@@ -44,7 +45,7 @@
         ClassTable classes = new ClassTable();
         this.engine = new Engine(loop, config, config.sockets() / 2, metrics, classes);
         this.frontend = new Frontend(loop, engine, classes, config.options().names("parties"),
-                config.mostClients(), lifecycle);
+                config.mostClients(), lifecycle, new ByteBudget(config.bodyBytes()));
     }
 
     void start() {
--- a/src/main/java/pondridge/sidecar/Upstreams.java
+++ b/src/main/java/pondridge/sidecar/Upstreams.java
@@ -5,18 +5,20 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderException;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -24,6 +26,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -45,14 +48,20 @@
 import java.util.concurrent.TimeUnit;
 import pondridge.Balancer.Outcome;
 import pondridge.Options;
+import pondridge.sidecar.stream.ByteBudget;
+import pondridge.sidecar.stream.RequestBody;
+import pondridge.sidecar.stream.Source;
 
 /**
  * Connections to upstreams and the attempts on them. An attempt is written once, on one connection, and ends
  * with one outcome; nothing is sent again from here.
  */
 final class Upstreams {
-    /** Good answers of 350 KB have been seen, beyond the protocol's 64 KiB; a bound keeps the memory free. */
-    private static final int LARGEST_ANSWER = 1 << 20;
+    /** Up to here an answer is held until it is whole, and a spoilt one can be tried again elsewhere. */
+    private static final int LARGEST_HELD = 1 << 16;
+    private static final int LARGEST_ANSWER = 1 << 25;
+    /** For so long an upstream may take or give nothing in the middle of a body, though it could. */
+    private static final long STALL = 30_000_000_000L;
     /** Some answers come behind interim ones; more than a few are no way to an answer. */
     private static final int MOST_INTERIM = 16;
     private static final long PROBE_TIMEOUT = 250_000_000;
@@ -64,10 +73,21 @@
         /** Its last byte has been written: from now on it may have run. */
         default void written() { }
 
+        /** Its answer is too large to be held: the first bytes, more to come, and then the end. */
+        default void begun(Attempt attempt, Engine.Answer first, long length, Source rest) { }
+
+        /** More of an answer that was begun; takes over the buffer. */
+        default void more(ByteBuf bytes) {
+            bytes.release();
+        }
+
         /** How it ended; {@code answer} is there for {@link Outcome#OK} alone. */
         void ended(Outcome outcome, Engine.Answer answer, float[] load);
     }
 
+    private static final RecvByteBufAllocator READS =
+            new AdaptiveRecvByteBufAllocator(64, 2048, ByteBudget.LEAST);
+
     private final EventLoop loop;
     private final int mostConnections;
     private int connectTimeoutMs;
@@ -123,11 +143,16 @@
         }
     }
 
-    /** Sends a request as one attempt; {@code wait} in nanoseconds bounds it. */
-    Attempt send(long upstream, FullHttpRequest request, long wait, Listener listener) {
+    /**
+     * Sends a request as one attempt; {@code wait} in nanoseconds bounds it, unless the body is still to end:
+     * then {@link Attempt#limit} does.
+     */
+    Attempt send(long upstream, Message message, RequestBody body, long wait, Listener listener) {
         Pool pool = pools.getOrDefault(upstream, nobody);
-        Attempt attempt = new Attempt(pool, request, listener);
-        attempt.timer = loop.schedule(attempt::late, wait, TimeUnit.NANOSECONDS);
+        Attempt attempt = new Attempt(pool, message, body, wait, listener);
+        if (body.whole()) {
+            attempt.limit(wait);
+        }
         pool.unwritten.add(attempt);
         Connection idle = pool.ready ? pool.take() : null;
         if (!pool.ready) {
@@ -145,9 +170,9 @@
     /** Probes an upstream: for its load report where the deployment has reports, else for its health. */
     void probe(long upstream, Listener listener) {
         String path = reportFields.isEmpty() ? "/alive" : LOAD_PATH;
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
-        request.headers().set(HttpHeaderNames.HOST, "app.svc");
-        send(upstream, request, PROBE_TIMEOUT, listener);
+        HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.HOST, "app.svc");
+        send(upstream, new Message(HttpMethod.GET, path, headers), RequestBody.of(new byte[0]), PROBE_TIMEOUT,
+                listener);
     }
 
     /** How many upstreams are listed. */
@@ -230,19 +255,37 @@
     /** One sending of a request. Until its last byte is written it has never run; after that it may have. */
     final class Attempt {
         private final Pool pool;
-        private final FullHttpRequest request;
+        private final Message message;
+        private final RequestBody body;
+        private final long wait;
         private final Listener listener;
         private Connection connection;
         private Future<?> timer;
+        private boolean handedOn;
         private boolean written;
         private boolean over;
 
-        private Attempt(Pool pool, FullHttpRequest request, Listener listener) {
+        private Attempt(Pool pool, Message message, RequestBody body, long wait, Listener listener) {
             this.pool = pool;
-            this.request = request;
+            this.message = message;
+            this.body = body;
+            this.wait = wait;
             this.listener = listener;
         }
 
+        /** From now on it may take so many nanoseconds until its answer is whole or begins. */
+        void limit(long nanoseconds) {
+            if (!over && timer == null) {
+                timer = loop.schedule(this::late, nanoseconds, TimeUnit.NANOSECONDS);
+            }
+        }
+
+        private void unlimited() {
+            if (timer != null) {
+                timer.cancel(false);
+            }
+        }
+
         /** Gives the attempt up and closes its connection. */
         void cancel() {
             end(Outcome.CANCELLED);
@@ -268,7 +311,10 @@
 
         private void end(Outcome outcome, Engine.Answer answer, float[] load) {
             over = true;
-            timer.cancel(false);
+            unlimited();
+            if (!handedOn) {
+                body.stopReading();
+            }
             pool.unwritten.remove(this);
             listener.ended(outcome, answer, load);
         }
@@ -331,7 +377,7 @@
      * One connection, one request at a time. An answer counts once all that came with it has been read: only
      * then is it known whether more has come than was asked for, and whether the next request may follow.
      */
-    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Source {
         private final Pool pool;
         private final Decoder decoder = new Decoder();
         private Channel channel;
@@ -340,6 +386,12 @@
         private HttpResponse head;
         private HttpHeaders headers;
         private ByteArrayOutputStream body;
+        private long received;
+        /** Whether the answer is passed on as it comes. */
+        private boolean passing;
+        private boolean pumping;
+        private Future<?> stall;
+        private long movedAt;
         private int interim;
         private boolean whole;
         private boolean soiled;
@@ -354,6 +406,7 @@
             new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
                     .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.RECVBUF_ALLOCATOR, READS)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel made) {
@@ -382,7 +435,39 @@
             current = attempt;
             attempt.connection = this;
             interim = 0;
-            channel.writeAndFlush(attempt.request).addListener(done -> {
+            channel.write(head(attempt));
+            attempt.body.read(this::pump);
+            moved();
+            pump();
+            if (!attempt.handedOn) {
+                watchStall(STALL);
+            }
+        }
+
+        /** Writes what there is of the request's body, as long as the upstream takes it. */
+        private void pump() {
+            Attempt attempt = current;
+            if (attempt == null || attempt.over || attempt.handedOn || pumping) {
+                return;
+            }
+            // A write tells of a change of writability from within the encoder: not to be entered again.
+            pumping = true;
+            while (channel.isWritable()) {
+                ByteBuf piece = attempt.body.next();
+                if (piece == null) {
+                    break;
+                }
+                moved();
+                channel.write(new DefaultHttpContent(piece));
+            }
+            pumping = false;
+            if (!attempt.body.drained()) {
+                channel.flush();
+                return;
+            }
+            attempt.handedOn = true;
+            attempt.body.stopReading();
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(done -> {
                 if (done.isSuccess()) {
                     attempt.written = true;
                     attempt.listener.written();
@@ -393,8 +478,45 @@
             });
         }
 
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            moved();
+            pump();
+        }
+
+        private void moved() {
+            movedAt = System.nanoTime();
+        }
+
+        /** An upstream that could go on with a body and does not for long ends the attempt. */
+        private void checkStall() {
+            Attempt attempt = current;
+            if (attempt == null || attempt.over || attempt.handedOn && !passing) {
+                return;
+            }
+            boolean waits = passing ? channel.config().isAutoRead() : !channel.isWritable();
+            long still = System.nanoTime() - movedAt;
+            if (waits && still >= STALL) {
+                attempt.broken();
+            } else {
+                watchStall(waits ? STALL - still : STALL);
+            }
+        }
+
+        private void watchStall(long delay) {
+            unwatchStall();
+            stall = loop.schedule(this::checkStall, delay, TimeUnit.NANOSECONDS);
+        }
+
+        private void unwatchStall() {
+            if (stall != null) {
+                stall.cancel(false);
+            }
+        }
+
         void close() {
             pool.idle.remove(this);
+            unwatchStall();
             if (channel != null) {
                 channel.close();
             }
@@ -411,16 +533,51 @@
                 return;
             }
             if (message instanceof HttpContent content && head != null) {
+                moved();
                 ByteBuf bytes = content.content();
-                if (body.size() + bytes.readableBytes() > LARGEST_ANSWER) {
+                received += bytes.readableBytes();
+                whole = message instanceof LastHttpContent;
+                if (received > LARGEST_ANSWER || received > LARGEST_HELD && !mayPass()) {
+                    whole = false;
                     spoilt();
-                    return;
+                } else if (passing) {
+                    current.listener.more(bytes.retain());
+                } else {
+                    body.writeBytes(ByteBufUtil.getBytes(bytes));
+                    if (!whole && mayPass() && body.size() > 0
+                            && Math.max(received, HttpUtil.getContentLength(head, 0L)) > LARGEST_HELD) {
+                        pass();
+                    }
                 }
-                body.writeBytes(ByteBufUtil.getBytes(bytes));
-                whole = message instanceof LastHttpContent;
             }
         }
 
+        /** Whether this is an answer to the request: it was served, and all of it had been sent. */
+        private boolean mayPass() {
+            return current.written && head.status().code() == 200;
+        }
+
+        /** From now on the answer goes on as it comes, and only a stand-still ends it. */
+        private void pass() {
+            passing = true;
+            Engine.Answer first = new Engine.Answer(headers, body.toByteArray());
+            body = null;
+            current.unlimited();
+            watchStall(STALL);
+            current.listener.begun(current, first, HttpUtil.getContentLength(head, -1L), this);
+        }
+
+        @Override
+        public void pause() {
+            channel.config().setAutoRead(false);
+        }
+
+        @Override
+        public void resume() {
+            moved();
+            channel.config().setAutoRead(true);
+        }
+
         /**
          * Looks at an answer's head; false if it spoils the answer. One that says nowhere where it ends goes
          * on until the connection does, and a cut would pass as its end.
@@ -433,6 +590,7 @@
             HttpHeaders given = response.headers();
             boolean bounded = given.contains(HttpHeaderNames.TRANSFER_ENCODING)
                     ? Headers.onlyChunked(response) : HttpUtil.getContentLength(response, -1L) >= 0;
+            received = 0;
             if (!bounded && code != 204 && code != 304
                     || HttpUtil.getContentLength(response, 0L) > LARGEST_ANSWER) {
                 return false;
@@ -444,7 +602,8 @@
                 return false;
             }
             head = response;
-            body = new ByteArrayOutputStream((int) HttpUtil.getContentLength(response, 1024L));
+            body = new ByteArrayOutputStream(
+                    (int) Math.min(LARGEST_HELD, HttpUtil.getContentLength(response, 1024L)));
             return true;
         }
 
@@ -454,13 +613,17 @@
                 return;
             }
             Attempt attempt = current;
+            if (attempt.over) {
+                close();
+                return;
+            }
             HttpResponse response = head;
             Outcome outcome = attempt.written || response.status().code() != 200 ? outcome(response)
                     : Outcome.ERROR;
-            float[] load = load(response, attempt.request.uri().equals(LOAD_PATH)
+            float[] load = load(response, attempt.message.uri().equals(LOAD_PATH) && body != null
                     ? body.toString(StandardCharsets.UTF_8) : null);
-            Engine.Answer answer = outcome == Outcome.OK ? new Engine.Answer(headers, body.toByteArray())
-                    : null;
+            Engine.Answer answer = outcome == Outcome.OK && !passing
+                    ? new Engine.Answer(headers, body.toByteArray()) : null;
             boolean reusable = HttpUtil.isKeepAlive(response) && attempt.written && pool.ready && !soiled
                     && !decoder.holds() && channel.isActive();
             current = null;
@@ -468,6 +631,11 @@
             headers = null;
             body = null;
             whole = false;
+            if (passing) {
+                passing = false;
+                unwatchStall();
+                channel.config().setAutoRead(true);
+            }
             if (reusable) {
                 idleSince = System.nanoTime();
                 pool.idle.addLast(this);
@@ -514,6 +682,21 @@
         }
     }
 
+    private static HttpRequest head(Attempt attempt) {
+        HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, attempt.message.method(),
+                attempt.message.uri());
+        Headers.copyEndToEnd(attempt.message.headers(), request.headers());
+        request.headers().set("Req-Deadline-Ms", Math.max(1, attempt.wait / 1_000_000))
+                .remove(HttpHeaderNames.CONTENT_LENGTH);
+        long length = attempt.body.length();
+        if (length < 0) {
+            HttpUtil.setTransferEncodingChunked(request, true);
+        } else if (length > 0 || !attempt.message.method().equals(HttpMethod.GET)) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+        }
+        return request;
+    }
+
     private static Outcome outcome(HttpResponse response) {
         return switch (response.status().code()) {
             case 200 -> Outcome.OK;
--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/src/main/java/pondridge/sidecar/WarmUp.java
@@ -1,10 +1,8 @@
 package pondridge.sidecar;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.List;
 import pondridge.Balancer;
@@ -16,6 +14,7 @@
 import pondridge.Balancer.Upstream;
 import pondridge.Options;
 import pondridge.Rules;
+import pondridge.sidecar.stream.RequestBody;
 
 /**
  * Loads and compiles what every request runs through, before the first client comes: the sidecar asks one of
@@ -54,8 +53,8 @@
             done.run();
             return;
         }
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/up");
-        self.send(0, request, PATIENCE, (outcome, answer, load) ->
+        Message message = new Message(HttpMethod.GET, "/up", new DefaultHttpHeaders());
+        self.send(0, message, RequestBody.of(new byte[0]), PATIENCE, (outcome, answer, load) ->
                 ask(outcome == Outcome.ERROR ? left - 1 : 0));
     }
 
--- a/src/main/java/pondridge/sidecar/listen/ClientListener.java
+++ b/src/main/java/pondridge/sidecar/listen/ClientListener.java
@@ -1,6 +1,7 @@
 package pondridge.sidecar.listen;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
@@ -10,6 +11,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import pondridge.sidecar.stream.ByteBudget;
 
 /** Takes clients' connections, from a socket that it binds or from one that was handed down. */
 public final class ClientListener {
@@ -60,6 +62,8 @@
         ServerBootstrap bootstrap = new ServerBootstrap().group(group)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(64, 2048, ByteBudget.LEAST))
                 .childHandler(each);
         ChannelFuture opened = shared()
                 ? bootstrap.channelFactory(() -> new NioServerSocketChannel(inherited)).register()
