Answers may end with their connection, and go on early where their length is unknown

Cause, seen in a run with log lines on each failure: 4 in 100 answers end with their connection and were taken for spoilt; chunked ones written slowly were held until 64 KiB had come and timed out. Ruled out: rejected requests (none) and cut answers (none).

--- a/src/main/java/pondridge/sidecar/Upstreams.java
+++ b/src/main/java/pondridge/sidecar/Upstreams.java
@@ -60,6 +60,8 @@
     /** Up to here an answer is held until it is whole, and a spoilt one can be tried again elsewhere. */
     private static final int LARGEST_HELD = 1 << 16;
     private static final int LARGEST_ANSWER = 1 << 25;
+    /** An answer that does not tell its length may be a large one, whose first bytes are waited for. */
+    private static final long LONGEST_HELD = 30_000_000;
     /** For so long an upstream may take or give nothing in the middle of a body, though it could. */
     private static final long STALL = 30_000_000_000L;
     /** Some answers come behind interim ones; more than a few are no way to an answer. */
@@ -390,6 +392,7 @@
         /** Whether the answer is passed on as it comes. */
         private boolean passing;
         private boolean pumping;
+        private Future<?> held;
         private Future<?> stall;
         private long movedAt;
         private int interim;
@@ -517,6 +520,7 @@
         void close() {
             pool.idle.remove(this);
             unwatchStall();
+            unhold();
             if (channel != null) {
                 channel.close();
             }
@@ -544,14 +548,26 @@
                     current.listener.more(bytes.retain());
                 } else {
                     body.writeBytes(ByteBufUtil.getBytes(bytes));
-                    if (!whole && mayPass() && body.size() > 0
-                            && Math.max(received, HttpUtil.getContentLength(head, 0L)) > LARGEST_HELD) {
-                        pass();
+                    if (!whole && mayPass() && body.size() > 0) {
+                        holdOrPass(current);
                     }
                 }
             }
         }
 
+        private void holdOrPass(Attempt attempt) {
+            long length = HttpUtil.getContentLength(head, -1L);
+            if (Math.max(received, length) > LARGEST_HELD) {
+                pass();
+            } else if (length < 0 && held == null) {
+                held = loop.schedule(() -> {
+                    if (current == attempt && !attempt.over && !passing && !whole) {
+                        pass();
+                    }
+                }, LONGEST_HELD, TimeUnit.NANOSECONDS);
+            }
+        }
+
         /** Whether this is an answer to the request: it was served, and all of it had been sent. */
         private boolean mayPass() {
             return current.written && head.status().code() == 200;
@@ -560,6 +576,7 @@
         /** From now on the answer goes on as it comes, and only a stand-still ends it. */
         private void pass() {
             passing = true;
+            unhold();
             Engine.Answer first = new Engine.Answer(headers, body.toByteArray());
             body = null;
             current.unlimited();
@@ -567,6 +584,13 @@
             current.listener.begun(current, first, HttpUtil.getContentLength(head, -1L), this);
         }
 
+        private void unhold() {
+            if (held != null) {
+                held.cancel(false);
+                held = null;
+            }
+        }
+
         @Override
         public void pause() {
             channel.config().setAutoRead(false);
@@ -579,8 +603,8 @@
         }
 
         /**
-         * Looks at an answer's head; false if it spoils the answer. One that says nowhere where it ends goes
-         * on until the connection does, and a cut would pass as its end.
+         * Looks at an answer's head; false if it spoils the answer. One that gives no length goes on until
+         * its connection ends, which is to be told too: on one that is to be kept the end would never come.
          */
         private boolean begin(HttpResponse response) {
             int code = response.status().code();
@@ -589,7 +613,8 @@
             }
             HttpHeaders given = response.headers();
             boolean bounded = given.contains(HttpHeaderNames.TRANSFER_ENCODING)
-                    ? Headers.onlyChunked(response) : HttpUtil.getContentLength(response, -1L) >= 0;
+                    ? Headers.onlyChunked(response)
+                    : HttpUtil.getContentLength(response, -1L) >= 0 || !HttpUtil.isKeepAlive(response);
             received = 0;
             if (!bounded && code != 204 && code != 304
                     || HttpUtil.getContentLength(response, 0L) > LARGEST_ANSWER) {
@@ -631,6 +656,7 @@
             headers = null;
             body = null;
             whole = false;
+            unhold();
             if (passing) {
                 passing = false;
                 unwatchStall();
--- a/src/test/java/pondridge/sidecar/BulkTest.java
+++ b/src/test/java/pondridge/sidecar/BulkTest.java
@@ -243,6 +243,53 @@
         }
     }
 
+    /** An answer may end with its connection, if it says so: whole at an orderly end, failed at a reset. */
+    @Test
+    void answerThatEndsWithItsConnectionIsServed() throws Exception {
+        for (String body : List.of("short", BODY)) {
+            try (Stub upstream = new Stub((socket, head) -> {
+                Stub.write(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body);
+                return false;
+            }); Bed bed = Bed.with(upstream); Bed.Client client = new Bed.Client(bed.address)) {
+                Stub.write(client.socket, Bed.look("a"));
+                String head = client.head();
+                assertEquals(body, body.equals(BODY) ? readChunked(client.in)
+                        : new String(client.in.readNBytes(Stub.length(head)), StandardCharsets.US_ASCII));
+                assertNull(Stub.header(head, "Connection"), "that was the upstream's connection");
+            }
+        }
+        try (Stub upstream = new Stub((socket, head) -> {
+            Stub.write(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+            return Stub.reset(socket);
+        }); Bed bed = Bed.with(upstream)) {
+            assertEquals(502, bed.ask(Bed.post("book", "", "x")).status());
+        }
+    }
+
+    /** Where an answer does not say how long it is, its first bytes go on while the rest is still to come. */
+    @Test
+    void firstBytesOfAnAnswerOfUnknownLengthDoNotWaitForTheRest() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Stub upstream = new Stub((socket, head) -> {
+            Stub.write(socket, "HTTP/1.1 200 OK\r\n" + CHUNKED + "\r\n" + chunk("first"));
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                return false;
+            }
+            Stub.write(socket, chunk("rest") + "0\r\n\r\n");
+            return true;
+        }); Bed bed = Bed.with(upstream); Bed.Client client = new Bed.Client(bed.address)) {
+            Stub.write(client.socket, Bed.look("a"));
+            assertTrue(client.head().startsWith("HTTP/1.1 200 "));
+            assertEquals("5", line(client.in));
+            go.countDown();
+            assertEquals("first", new String(client.in.readNBytes(5), StandardCharsets.US_ASCII));
+            assertEquals("", line(client.in));
+            assertEquals("rest", readChunked(client.in));
+        }
+    }
+
     /** A reader that stops keeps its server waiting, not the sidecar's memory full; then all of it comes. */
     @Test
     void slowReadersHoldTheirServersBackAndMissNothing() throws Exception {
