Second start rehearses the clients' side in memory before it takes clients

Ruled out: the door (0 requests ended there) and the lists; the losses lay in the first 5 s, where requests ran cold.

--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -129,6 +129,11 @@
         listed(ListKind.CACHED, known.targets());
     }
 
+    /** Holds no more connections; for one that never began. */
+    void stop() {
+        upstreams.close();
+    }
+
     /** Takes a new configuration over: the settings, and where discovery is. */
     void reconfigure(Config config) {
         Balancer.Settings settings = take(config.options());
--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -36,6 +36,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.math.RoundingMode;
@@ -93,6 +94,7 @@
     private final ArrayDeque<Past> past = new ArrayDeque<>();
     private final Lifecycle lifecycle;
     private final ByteBudget budget;
+    private final Future<?> sweeping;
 
     /** Serves on this loop. */
     Frontend(EventLoop loop, Engine engine, ClassTable classes, List<String> tenantNames, int mostConnections,
@@ -103,7 +105,7 @@
         this.classes = classes;
         this.tenantNames = tenantNames;
         this.mostConnections = mostConnections;
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Takes up a connection that was made; there are requests on it at once, whatever {@code /up} says. */
@@ -121,6 +123,11 @@
         };
     }
 
+    /** Looks after nobody any more. */
+    void stop() {
+        sweeping.cancel(false);
+    }
+
     /** Whether no client is connected any more. */
     boolean empty() {
         return connections.isEmpty();
--- a/src/main/java/pondridge/sidecar/Sidecar.java
+++ b/src/main/java/pondridge/sidecar/Sidecar.java
@@ -64,14 +64,14 @@
      */
     private void takeClients(InetSocketAddress door) {
         if (clients.shared()) {
-            WarmUp.run(loop, config.options(), door, () -> {
+            WarmUp.run(loop, config, door, () -> {
                 if (!lifecycle.emptying()) {
                     onceOpen(clients.open(group, frontend.connections()), "listen", at -> ready());
                 }
             });
         } else {
             onceOpen(clients.open(group, frontend.connections()), "listen",
-                    at -> WarmUp.run(loop, config.options(), at, this::ready));
+                    at -> WarmUp.run(loop, config, at, this::ready));
         }
     }
 
--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/src/main/java/pondridge/sidecar/WarmUp.java
@@ -1,19 +1,27 @@
 package pondridge.sidecar;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import pondridge.Balancer;
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.Outcome;
 import pondridge.Balancer.Request;
+import pondridge.Balancer.RequestClass;
+import pondridge.Balancer.Semantics;
 import pondridge.Balancer.Settings;
 import pondridge.Balancer.State;
 import pondridge.Balancer.Upstream;
-import pondridge.Options;
 import pondridge.Rules;
+import pondridge.sidecar.classes.ClassTable;
+import pondridge.sidecar.lifecycle.Lifecycle;
+import pondridge.sidecar.metrics.Metrics;
+import pondridge.sidecar.stream.ByteBudget;
 import pondridge.sidecar.stream.RequestBody;
 
 /**
@@ -37,9 +45,10 @@
     }
 
     /** Runs on the loop; {@code done} follows also if there is no listener or it can't be reached. */
-    static void run(EventLoop loop, Options options, InetSocketAddress listener, Runnable done) {
-        decide(options.settings());
-        Upstreams self = new Upstreams(loop, options, 1);
+    static void run(EventLoop loop, Config config, InetSocketAddress listener, Runnable done) {
+        decide(config.options().settings());
+        answer(loop, config);
+        Upstreams self = new Upstreams(loop, config.options(), 1);
         if (listener != null) {
             self.listed(0, listener, 0, true);
         }
@@ -58,6 +67,34 @@
                 ask(outcome == Outcome.ERROR ? left - 1 : 0));
     }
 
+    /** A frontend that nobody can reach takes requests; its engine, which knows no server, refuses them. */
+    private static void answer(EventLoop loop, Config config) {
+        ClassTable classes = new ClassTable();
+        Engine engine = new Engine(loop, config, ROUNDS, new Metrics(), classes);
+        List<String> tenants = config.options().names("parties");
+        Frontend frontend = new Frontend(loop, engine, classes, tenants, 1, new Lifecycle(),
+                new ByteBudget(config.bodyBytes()));
+        EmbeddedChannel client = new EmbeddedChannel(frontend.connections());
+        List<RequestClass> rules = config.options().settings().classes();
+        List<String> names = config.options().names("profiles");
+        for (int i = 0; i < ROUNDS; i++) {
+            Semantics semantics = rules.get(i % rules.size()).semantics();
+            String request = (semantics == Semantics.REPEATABLE ? "GET" : "POST") + " /api/x HTTP/1.1\r\n"
+                    + "Host: app.svc\r\nReq-Id: " + i + "\r\n"
+                    + "Req-Kind: " + names.get(i % rules.size()) + "\r\n"
+                    + (semantics == Semantics.BY_KEY ? "Idempotency-Key: " + i + "\r\n" : "")
+                    + (tenants.isEmpty() ? "" : "Req-Owner: " + tenants.get(0) + "\r\n")
+                    + "Req-Deadline-Ms: 1000\r\n"
+                    + (semantics == Semantics.REPEATABLE ? "\r\n" : "Content-Length: 2\r\n\r\nxx");
+            client.writeInbound(Unpooled.copiedBuffer(request, StandardCharsets.US_ASCII));
+            client.runPendingTasks();
+            client.releaseOutbound();
+        }
+        client.finishAndReleaseAll();
+        frontend.stop();
+        engine.stop();
+    }
+
     private static void decide(Settings settings) {
         Balancer rules = new Rules(settings, 0, new Unheard());
         long now = System.nanoTime() & Long.MAX_VALUE;
