--- a/src/main/java/pondridge/sidecar/stream/RequestBody.java
+++ b/src/main/java/pondridge/sidecar/stream/RequestBody.java
@@ -148,7 +148,7 @@
                 && offset == held.get(segment).readableBytes());
     }
 
-    /** Lets go of what has been read, once the share is full. */
+    /** Lets go of what has been read, once the share is full; that may have grown meanwhile. */
     private void makeRoom() {
         boolean dropped = false;
         while (heldBytes >= budget.share() && (segment > 0 || offset == held.get(0).readableBytes())) {
@@ -161,15 +161,12 @@
             held.remove(0).release();
             dropped = true;
         }
-        if (dropped) {
-            boolean first = repeatable;
+        if (dropped && repeatable) {
             repeatable = false;
-            if (first) {
-                onDropped.run();
-            }
-            if (!full()) {
-                onRoom.run();
-            }
+            onDropped.run();
+        }
+        if (!full()) {
+            onRoom.run();
         }
     }
 
--- a/src/test/java/pondridge/sidecar/stream/RequestBodyTest.java
+++ b/src/test/java/pondridge/sidecar/stream/RequestBodyTest.java
@@ -93,6 +93,30 @@
         assertEquals(1, dropped, "told once");
     }
 
+    /** Its share may grow while nobody reads: whoever waits for room must not wait for ever. */
+    @Test
+    void roomIsToldAlsoWhenTheShareHasGrown() {
+        ByteBudget budget = new ByteBudget(3 * ByteBudget.LEAST);
+        RequestBody[] others = new RequestBody[3];
+        for (int i = 0; i < others.length; i++) {
+            others[i] = new RequestBody(budget, -1);
+            others[i].add(Unpooled.wrappedBuffer(new byte[1]));
+        }
+        RequestBody body = new RequestBody(budget, -1);
+        body.onRoom(() -> rooms++);
+        body.add(Unpooled.wrappedBuffer(bytes(20_000)));
+        assertTrue(body.full());
+        for (RequestBody other : others) {
+            other.discard();
+        }
+        assertFalse(body.full());
+        rooms = 0;
+        body.read(() -> { });
+        readAll(body);
+        assertTrue(rooms > 0);
+        assertTrue(body.repeatable(), "there was no need to let go of anything");
+    }
+
     @Test
     void discardedBodyHoldsNothingAndTakesNothing() {
         RequestBody body = body(0);
