--- a/src/main/java/pondridge/sidecar/Sidecar.java
+++ b/src/main/java/pondridge/sidecar/Sidecar.java
@@ -64,14 +64,15 @@
      */
     private void takeClients(InetSocketAddress door) {
         if (clients.shared()) {
-            WarmUp.run(loop, config, door, () -> {
+            WarmUp.answer(loop, config);
+            WarmUp.run(loop, config.options(), door, () -> {
                 if (!lifecycle.emptying()) {
                     onceOpen(clients.open(group, frontend.connections()), "listen", at -> ready());
                 }
             });
         } else {
             onceOpen(clients.open(group, frontend.connections()), "listen",
-                    at -> WarmUp.run(loop, config, at, this::ready));
+                    at -> WarmUp.run(loop, config.options(), at, this::ready));
         }
     }
 
@@ -125,7 +126,7 @@
     /** At SIGTERM: calls {@code done} once all is answered and nobody is connected any more. */
     void end(CountDownLatch done) {
         System.err.println("pondridge: " + config.name() + " ending, " + engine.active() + " open requests");
-        lifecycle.end();
+        lifecycle.end(clients.shared());
         loop.schedule(clients::stop, clients.shared() ? 0 : ACCEPT_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> {
             if (frontend.empty() && engine.active() == 0) {
--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/src/main/java/pondridge/sidecar/WarmUp.java
@@ -17,6 +17,7 @@
 import pondridge.Balancer.Settings;
 import pondridge.Balancer.State;
 import pondridge.Balancer.Upstream;
+import pondridge.Options;
 import pondridge.Rules;
 import pondridge.sidecar.classes.ClassTable;
 import pondridge.sidecar.lifecycle.Lifecycle;
@@ -45,10 +46,9 @@
     }
 
     /** Runs on the loop; {@code done} follows also if there is no listener or it can't be reached. */
-    static void run(EventLoop loop, Config config, InetSocketAddress listener, Runnable done) {
-        decide(config.options().settings());
-        answer(loop, config);
-        Upstreams self = new Upstreams(loop, config.options(), 1);
+    static void run(EventLoop loop, Options options, InetSocketAddress listener, Runnable done) {
+        decide(options.settings());
+        Upstreams self = new Upstreams(loop, options, 1);
         if (listener != null) {
             self.listed(0, listener, 0, true);
         }
@@ -68,7 +68,7 @@
     }
 
     /** A frontend that nobody can reach takes requests; its engine, which knows no server, refuses them. */
-    private static void answer(EventLoop loop, Config config) {
+    static void answer(EventLoop loop, Config config) {
         ClassTable classes = new ClassTable();
         Engine engine = new Engine(loop, config, ROUNDS, new Metrics(), classes);
         List<String> tenants = config.options().names("parties");
--- a/src/main/java/pondridge/sidecar/lifecycle/Lifecycle.java
+++ b/src/main/java/pondridge/sidecar/lifecycle/Lifecycle.java
@@ -30,10 +30,13 @@
         return true;
     }
 
-    /** It ends: nothing turns it back. */
-    public void end() {
+    /**
+     * It ends: nothing turns it back. Where another process takes its clients there is time for the grace;
+     * where none does, every moment until the exit is one without a sidecar.
+     */
+    public void end(boolean succeeded) {
         if (!emptying()) {
-            emptyingSince = System.nanoTime();
+            emptyingSince = System.nanoTime() - (succeeded ? 0 : GRACE);
         }
         ending = true;
     }
