--- a/src/main/java/pondridge/Alarms.java
+++ b/decisions/src/main/java/topazvalve/decisions/Alarms.java
@@ -1,4 +1,4 @@
-package pondridge;
+package topazvalve.decisions;
 
 import java.util.PriorityQueue;
 import java.util.function.LongConsumer;
--- a/src/main/java/pondridge/Balancer.java
+++ b/decisions/src/main/java/topazvalve/decisions/Balancer.java
@@ -1,4 +1,4 @@
-package pondridge;
+package topazvalve.decisions;
 
 import java.util.List;
 
--- a/src/main/java/pondridge/FadingSum.java
+++ b/decisions/src/main/java/topazvalve/decisions/FadingSum.java
@@ -1,4 +1,4 @@
-package pondridge;
+package topazvalve.decisions;
 
 /** A sum that forgets: what was added a window ago counts by 1/e. */
 final class FadingSum {
--- a/src/main/java/pondridge/Options.java
+++ b/decisions/src/main/java/topazvalve/decisions/Options.java
@@ -1,20 +1,20 @@
-package pondridge;
+package topazvalve.decisions;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import pondridge.Balancer.Allowed;
-import pondridge.Balancer.Charges;
-import pondridge.Balancer.Discovery;
-import pondridge.Balancer.Limits;
-import pondridge.Balancer.RequestClass;
-import pondridge.Balancer.Scope;
-import pondridge.Balancer.Semantics;
-import pondridge.Balancer.Settings;
-import pondridge.Balancer.Tenant;
-import pondridge.Balancer.Weights;
+import topazvalve.decisions.Balancer.Allowed;
+import topazvalve.decisions.Balancer.Charges;
+import topazvalve.decisions.Balancer.Discovery;
+import topazvalve.decisions.Balancer.Limits;
+import topazvalve.decisions.Balancer.RequestClass;
+import topazvalve.decisions.Balancer.Scope;
+import topazvalve.decisions.Balancer.Semantics;
+import topazvalve.decisions.Balancer.Settings;
+import topazvalve.decisions.Balancer.Tenant;
+import topazvalve.decisions.Balancer.Weights;
 
 /**
  * The one reader of an instance's settings, for every host: turns path=value lines into {@link Settings} and
--- a/src/test/java/pondridge/EmbeddingExampleTest.java
+++ b/decisions/src/test/java/topazvalve/decisions/EmbeddingExampleTest.java
@@ -1,15 +1,15 @@
-package pondridge;
+package topazvalve.decisions;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pondridge.Balancer.ListKind;
-import pondridge.Balancer.Outcome;
-import pondridge.Balancer.Request;
-import pondridge.Balancer.State;
-import pondridge.Balancer.Upstream;
+import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.decisions.Balancer.Outcome;
+import topazvalve.decisions.Balancer.Request;
+import topazvalve.decisions.Balancer.State;
+import topazvalve.decisions.Balancer.Upstream;
 
 /** The README's embedding example, compiled and run. */
 class EmbeddingExampleTest {
--- a/src/test/java/pondridge/RandomEventsTest.java
+++ b/decisions/src/test/java/topazvalve/decisions/RandomEventsTest.java
@@ -1,8 +1,8 @@
-package pondridge;
+package topazvalve.decisions;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static pondridge.Recorder.MS;
+import static topazvalve.decisions.Recorder.MS;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,13 +13,13 @@
 import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import pondridge.Balancer.ListKind;
-import pondridge.Balancer.Outcome;
-import pondridge.Balancer.RequestClass;
-import pondridge.Balancer.Scope;
-import pondridge.Balancer.Semantics;
-import pondridge.Balancer.State;
-import pondridge.Balancer.Upstream;
+import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.decisions.Balancer.Outcome;
+import topazvalve.decisions.Balancer.RequestClass;
+import topazvalve.decisions.Balancer.Scope;
+import topazvalve.decisions.Balancer.Semantics;
+import topazvalve.decisions.Balancer.State;
+import topazvalve.decisions.Balancer.Upstream;
 
 /** Long random legal event sequences, judged by an observer with books of its own. */
 class RandomEventsTest {
--- a/src/test/java/pondridge/Recorder.java
+++ b/decisions/src/test/java/topazvalve/decisions/Recorder.java
@@ -1,23 +1,23 @@
-package pondridge;
+package topazvalve.decisions;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
-import pondridge.Balancer.Actions;
-import pondridge.Balancer.Allowed;
-import pondridge.Balancer.Discovery;
-import pondridge.Balancer.Limits;
-import pondridge.Balancer.ListKind;
-import pondridge.Balancer.Outcome;
-import pondridge.Balancer.Request;
-import pondridge.Balancer.RequestClass;
-import pondridge.Balancer.Scope;
-import pondridge.Balancer.Semantics;
-import pondridge.Balancer.Settings;
-import pondridge.Balancer.State;
-import pondridge.Balancer.Tenant;
-import pondridge.Balancer.Upstream;
-import pondridge.Balancer.Weights;
+import topazvalve.decisions.Balancer.Actions;
+import topazvalve.decisions.Balancer.Allowed;
+import topazvalve.decisions.Balancer.Discovery;
+import topazvalve.decisions.Balancer.Limits;
+import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.decisions.Balancer.Outcome;
+import topazvalve.decisions.Balancer.Request;
+import topazvalve.decisions.Balancer.RequestClass;
+import topazvalve.decisions.Balancer.Scope;
+import topazvalve.decisions.Balancer.Semantics;
+import topazvalve.decisions.Balancer.Settings;
+import topazvalve.decisions.Balancer.State;
+import topazvalve.decisions.Balancer.Tenant;
+import topazvalve.decisions.Balancer.Upstream;
+import topazvalve.decisions.Balancer.Weights;
 
 /** A host for tests: it keeps the clock, rings timers and writes down what the module orders. */
 final class Recorder implements Actions {
--- a/src/test/java/pondridge/RulesTest.java
+++ b/decisions/src/test/java/topazvalve/decisions/RulesTest.java
@@ -1,17 +1,17 @@
-package pondridge;
+package topazvalve.decisions;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static pondridge.Recorder.BY_ANY;
-import static pondridge.Recorder.BY_CELL;
-import static pondridge.Recorder.MS;
-import static pondridge.Recorder.ONCE;
-import static pondridge.Recorder.REPEATABLE;
-import static pondridge.Recorder.settings;
-import static pondridge.Recorder.upstream;
+import static topazvalve.decisions.Recorder.BY_ANY;
+import static topazvalve.decisions.Recorder.BY_CELL;
+import static topazvalve.decisions.Recorder.MS;
+import static topazvalve.decisions.Recorder.ONCE;
+import static topazvalve.decisions.Recorder.REPEATABLE;
+import static topazvalve.decisions.Recorder.settings;
+import static topazvalve.decisions.Recorder.upstream;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -23,11 +23,11 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import pondridge.Balancer.Discovery;
-import pondridge.Balancer.ListKind;
-import pondridge.Balancer.Outcome;
-import pondridge.Balancer.Settings;
-import pondridge.Balancer.State;
+import topazvalve.decisions.Balancer.Discovery;
+import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.decisions.Balancer.Outcome;
+import topazvalve.decisions.Balancer.Settings;
+import topazvalve.decisions.Balancer.State;
 
 class RulesTest {
 
@@ -658,7 +658,7 @@
 
     @Test
     void moduleStaysWithinItsSize() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/pondridge/Rules.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/topazvalve/decisions/Rules.java"));
         assertTrue(lines.stream().filter(line -> !line.isBlank()).count() <= 1200);
         assertTrue(lines.stream().allMatch(line -> line.length() <= 110));
     }
--- a/src/test/java/pondridge/SettingsUnlikeTest.java
+++ b/decisions/src/test/java/topazvalve/decisions/SettingsUnlikeTest.java
@@ -1,22 +1,22 @@
-package pondridge;
+package topazvalve.decisions;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static pondridge.Recorder.MS;
+import static topazvalve.decisions.Recorder.MS;
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pondridge.Balancer.Allowed;
-import pondridge.Balancer.Discovery;
-import pondridge.Balancer.Limits;
-import pondridge.Balancer.ListKind;
-import pondridge.Balancer.Outcome;
-import pondridge.Balancer.RequestClass;
-import pondridge.Balancer.Scope;
-import pondridge.Balancer.Semantics;
-import pondridge.Balancer.Settings;
-import pondridge.Balancer.State;
-import pondridge.Balancer.Weights;
+import topazvalve.decisions.Balancer.Allowed;
+import topazvalve.decisions.Balancer.Discovery;
+import topazvalve.decisions.Balancer.Limits;
+import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.decisions.Balancer.Outcome;
+import topazvalve.decisions.Balancer.RequestClass;
+import topazvalve.decisions.Balancer.Scope;
+import topazvalve.decisions.Balancer.Semantics;
+import topazvalve.decisions.Balancer.Settings;
+import topazvalve.decisions.Balancer.State;
+import topazvalve.decisions.Balancer.Weights;
 
 /** Settings far from the three deployments: bare hosts, lone servers, large and vanishing lists. */
 class SettingsUnlikeTest {
--- /dev/null
+++ b/logging/src/test/java/topazvalve/logging/LineFormatterTest.java
@@ -0,0 +1,48 @@
+package topazvalve.logging;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.junit.jupiter.api.Test;
+
+class LineFormatterTest {
+    private static LogRecord nasty() {
+        LogRecord entry = new LogRecord(Level.WARNING, "a \"b\"\n{c} \u0001 ü");
+        entry.setLoggerName("upstream");
+        entry.setInstant(Instant.parse("2026-01-02T03:04:05.678Z"));
+        entry.setThrown(new IllegalStateException("bro\nken"));
+        return entry;
+    }
+
+    @Test
+    void textIsOneLineWhateverIsInIt() {
+        String line = new LineFormatter(false).format(nasty());
+        assertEquals(1, line.lines().count());
+        assertEquals(0, line.indexOf("2026-01-02T03:04:05.678Z WARN upstream: a \"b\" {c}   ü: "
+                + "java.lang.IllegalStateException: bro ken at topazvalve.logging."), line);
+    }
+
+    @Test
+    void jsonParsesBackToWhatWentIn() throws Exception {
+        String line = new LineFormatter(true).format(nasty());
+        assertEquals(1, line.lines().count());
+        Map<String, String> read = new LinkedHashMap<>();
+        try (JsonParser parser = new JsonFactory().createParser(line)) {
+            for (JsonToken token = parser.nextToken(); token != null; token = parser.nextToken()) {
+                if (token == JsonToken.VALUE_STRING) {
+                    read.put(parser.currentName(), parser.getText());
+                }
+            }
+        }
+        assertEquals("a \"b\"\n{c} \u0001 ü", read.get("message"));
+        assertEquals("java.lang.IllegalStateException: bro\nken", read.get("exception"));
+        assertEquals("[time, level, logger, message, exception, at]", read.keySet().toString());
+    }
+}
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/Main.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package topazvalve.sidecar;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -9,10 +9,15 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import pondridge.sidecar.listen.ClientListener;
+import org.slf4j.Logger;
+import topazvalve.logging.Logging;
+import topazvalve.sidecar.config.Config;
+import topazvalve.sidecar.listen.ClientListener;
 
 /** Entry point of the real sidecar: configuration, start, and an orderly end at SIGTERM. */
 public final class Main {
+    private static final Logger LOG = Logging.of("topazvalve");
+
     private Main() { }
 
     /**
@@ -33,7 +38,7 @@
             config = Config.read(Path.of(file));
             clients = ClientListener.given(config.listen(), System.getenv("PROXY_FD"));
         } catch (IllegalArgumentException | IOException e) {
-            System.err.println("pondridge: configuration: " + e.getMessage());
+            LOG.error("configuration: {}", e.getMessage());
             System.exit(2);
             return;
         }
@@ -79,7 +84,7 @@
             signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), ours);
         } catch (ReflectiveOperationException e) {
-            System.err.println("pondridge: SIGHUP would end this program: " + e);
+            LOG.error("SIGHUP would end this program: {}", e.toString());
         }
     }
 
--- a/src/main/java/pondridge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package topazvalve.sidecar;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -9,16 +9,22 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import pondridge.Balancer.RequestClass;
-import pondridge.sidecar.admin.AdminServer;
-import pondridge.sidecar.classes.ClassTable;
-import pondridge.sidecar.lifecycle.Lifecycle;
-import pondridge.sidecar.listen.ClientListener;
-import pondridge.sidecar.metrics.Metrics;
-import pondridge.sidecar.stream.ByteBudget;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import topazvalve.decisions.Balancer.RequestClass;
+import topazvalve.sidecar.admin.AdminServer;
+import topazvalve.sidecar.classes.ClassTable;
+import topazvalve.sidecar.config.Config;
+import topazvalve.sidecar.engine.Engine;
+import topazvalve.sidecar.front.Frontend;
+import topazvalve.sidecar.lifecycle.Lifecycle;
+import topazvalve.sidecar.listen.ClientListener;
+import topazvalve.sidecar.metrics.Metrics;
+import topazvalve.sidecar.stream.ByteBudget;
 
 /** One running sidecar: its parts, and the order in which they start and end. On the event loop alone. */
 final class Sidecar {
+    private static final Logger LOG = LoggerFactory.getLogger("topazvalve");
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long ACCEPT_MS = 500;
     /** SIGKILL comes no sooner than the longest deadline and 0.7 s more. */
@@ -81,7 +87,7 @@
             if (done.isSuccess()) {
                 next.accept((InetSocketAddress) opened.channel().localAddress());
             } else {
-                System.err.println("pondridge: " + key + ": " + done.cause().getMessage());
+                LOG.error("{}: {}", key, done.cause().getMessage());
                 Runtime.getRuntime().halt(1);
             }
         });
@@ -89,7 +95,7 @@
 
     private void ready() {
         lifecycle.started();
-        System.err.println("pondridge: " + config.name() + " ready at " + config.listen());
+        LOG.info("{} ready at {}", config.name(), config.listen());
         whenReady.run();
     }
 
@@ -113,18 +119,18 @@
         engine.reconfigure(read);
         config = read;
         metrics.configApplied();
-        System.err.println("pondridge: new configuration taken: classes " + read.options().names("profiles")
-                + ", attempts " + read.options().settings().allowed().tryLimit());
+        LOG.info("new configuration taken: classes {}, attempts {}", read.options().names("profiles"),
+                read.options().settings().allowed().tryLimit());
     }
 
     private void turnDown(Exception fault) {
         metrics.configRejected();
-        System.err.println("pondridge: new configuration not taken: " + fault.getMessage());
+        LOG.warn("new configuration not taken: {}", fault.getMessage());
     }
 
     /** At SIGTERM: calls {@code done} once all is answered and nobody is connected any more. */
     void end(CountDownLatch done) {
-        System.err.println("pondridge: " + config.name() + " ending, " + engine.active() + " open requests");
+        LOG.info("{} ending, {} open requests", config.name(), engine.active());
         lifecycle.end();
         loop.schedule(clients::stop, clients.shared() ? 0 : ACCEPT_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> {
--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/WarmUp.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package topazvalve.sidecar;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -8,21 +8,26 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import pondridge.Balancer;
-import pondridge.Balancer.ListKind;
-import pondridge.Balancer.Outcome;
-import pondridge.Balancer.Request;
-import pondridge.Balancer.RequestClass;
-import pondridge.Balancer.Semantics;
-import pondridge.Balancer.Settings;
-import pondridge.Balancer.State;
-import pondridge.Balancer.Upstream;
-import pondridge.Rules;
-import pondridge.sidecar.classes.ClassTable;
-import pondridge.sidecar.lifecycle.Lifecycle;
-import pondridge.sidecar.metrics.Metrics;
-import pondridge.sidecar.stream.ByteBudget;
-import pondridge.sidecar.stream.RequestBody;
+import topazvalve.decisions.Balancer;
+import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.decisions.Balancer.Outcome;
+import topazvalve.decisions.Balancer.Request;
+import topazvalve.decisions.Balancer.RequestClass;
+import topazvalve.decisions.Balancer.Semantics;
+import topazvalve.decisions.Balancer.Settings;
+import topazvalve.decisions.Balancer.State;
+import topazvalve.decisions.Balancer.Upstream;
+import topazvalve.decisions.Rules;
+import topazvalve.sidecar.classes.ClassTable;
+import topazvalve.sidecar.config.Config;
+import topazvalve.sidecar.engine.Engine;
+import topazvalve.sidecar.front.Frontend;
+import topazvalve.sidecar.http.Message;
+import topazvalve.sidecar.lifecycle.Lifecycle;
+import topazvalve.sidecar.metrics.Metrics;
+import topazvalve.sidecar.stream.ByteBudget;
+import topazvalve.sidecar.stream.RequestBody;
+import topazvalve.sidecar.upstream.Upstreams;
 
 /**
  * Loads and compiles what every request runs through, before the first client comes: the sidecar asks one of
--- a/src/main/java/pondridge/sidecar/admin/AdminCalls.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/admin/AdminCalls.java
@@ -1,13 +1,17 @@
-package pondridge.sidecar.admin;
+package topazvalve.sidecar.admin;
 
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Map;
 import java.util.function.Supplier;
-import pondridge.sidecar.lifecycle.Lifecycle;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import topazvalve.sidecar.lifecycle.Lifecycle;
 
 /** What operators can ask and order. */
 final class AdminCalls {
+    private static final Logger LOG = LoggerFactory.getLogger("admin");
+
     /** An answer; {@code allow} names the method that the path takes, where another was used. */
     record Reply(HttpResponseStatus status, String text, HttpMethod allow) {
         private Reply(HttpResponseStatus status, String text) {
@@ -47,7 +51,7 @@
         if (!lifecycle.lameDuck(on)) {
             return new Reply(HttpResponseStatus.CONFLICT, "ending\n");
         }
-        System.err.println("admin: lame duck " + (on ? "on: emptying" : "off: taking clients again"));
+        LOG.info("lame duck {}", on ? "on: emptying" : "off: taking clients again");
         return new Reply(HttpResponseStatus.OK, on ? "emptying\n" : "taking clients\n");
     }
 }
--- a/src/main/java/pondridge/sidecar/admin/AdminServer.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/admin/AdminServer.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar.admin;
+package topazvalve.sidecar.admin;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -32,13 +32,16 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import pondridge.sidecar.lifecycle.Lifecycle;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import topazvalve.sidecar.lifecycle.Lifecycle;
 
 /**
  * Listens for operators: one call on each connection, bounded in size, time and number. A caller that says
  * nothing can keep nobody out, since one connection too many closes the oldest.
  */
 public final class AdminServer {
+    private static final Logger LOG = LoggerFactory.getLogger("admin");
     /** Descriptors that the door may hold. */
     public static final int MOST_CONNECTIONS = 16;
     private static final int LONGEST_LINE = 1024;
@@ -115,7 +118,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (!(cause instanceof IOException)) {
-                System.err.println("admin: " + cause);
+                LOG.error("call failed", cause);
             }
             context.close();
         }
--- a/src/main/java/pondridge/sidecar/admin/package-info.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/admin/package-info.java
@@ -1,2 +1,2 @@
 /** The operators' door: a second listener for readiness, figures and draining. */
-package pondridge.sidecar.admin;
+package topazvalve.sidecar.admin;
--- a/src/main/java/pondridge/sidecar/classes/ClassTable.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/classes/ClassTable.java
@@ -1,12 +1,12 @@
-package pondridge.sidecar.classes;
+package topazvalve.sidecar.classes;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import pondridge.Balancer.RequestClass;
-import pondridge.Balancer.Scope;
-import pondridge.Balancer.Semantics;
+import topazvalve.decisions.Balancer.RequestClass;
+import topazvalve.decisions.Balancer.Scope;
+import topazvalve.decisions.Balancer.Semantics;
 
 /**
  * Gives each class its number. A class is known by its name and its effect: under another effect the same
--- a/src/main/java/pondridge/sidecar/Config.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/config/Config.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package topazvalve.sidecar.config;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadFeature;
@@ -6,9 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.ObjectReader;
-import io.netty.util.NetUtil;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -17,13 +15,18 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.StringJoiner;
-import pondridge.Options;
-import pondridge.sidecar.admin.AdminServer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import topazvalve.decisions.Options;
+import topazvalve.sidecar.admin.AdminServer;
+import topazvalve.sidecar.discovery.Listing;
+import topazvalve.sidecar.net.Addresses;
 
 /** What one sidecar is told, checked whole; a mistake is an exception whose message names the key. */
-record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
-        long seed, int sockets, Discovery.Listing known, Options options, JsonNode root) {
-    static final ObjectMapper JSON = new ObjectMapper();
+public record Config(String name, InetSocketAddress listen, InetSocketAddress admin,
+        InetSocketAddress discovery, long seed, int sockets, Listing known, Options options, JsonNode root) {
+    private static final Logger LOG = LoggerFactory.getLogger("sidecar");
+    private static final ObjectMapper JSON = new ObjectMapper();
     /** A file that is cut short or pasted together must not pass for what its first part says. */
     private static final ObjectReader STRICT = JSON.reader()
             .with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
@@ -35,7 +38,7 @@
     private static final int FEWEST_SOCKETS = 64;
     private static final int RESERVED = 40;
 
-    static Config read(Path file) throws IOException {
+    public static Config read(Path file) throws IOException {
         try {
             return of(STRICT.readTree(Files.readAllBytes(file)));
         } catch (JsonProcessingException e) {
@@ -43,7 +46,7 @@
         }
     }
 
-    static Config of(JsonNode root) {
+    public static Config of(JsonNode root) {
         JsonNode settings = root.path("settings");
         if (!settings.isObject()) {
             throw new IllegalArgumentException("missing: settings");
@@ -61,8 +64,8 @@
         if (sockets < FEWEST_SOCKETS) {
             throw new IllegalArgumentException("too few: limits.sockets");
         }
-        Discovery.Listing known = root.has("known") ? Discovery.Listing.of(root.get("known"))
-                : Discovery.Listing.NONE;
+        Listing known = root.has("known") ? Listing.of(root.get("known"))
+                : Listing.NONE;
         return new Config(root.path("name").asText("sidecar"), address(root, "listen"), admin(root),
                 address(root, "discovery"), seed(root), sockets, known, options, root);
     }
@@ -99,7 +102,7 @@
      * Whether a running sidecar may take this over from what it has: each key that is in force has to be
      * there again, since a default in its place would change the rules unasked.
      */
-    void requireFit(Config inForce) {
+    public void requireFit(Config inForce) {
         requireSameKeys("", inForce.root, root);
         for (String key : FIXED) {
             if (!root.path("settings").path(key).equals(inForce.root.path("settings").path(key))) {
@@ -107,7 +110,7 @@
             }
         }
         if (!listen.equals(inForce.listen) || !Objects.equals(admin, inForce.admin)) {
-            System.err.println("pondridge: listen and admin stay as they are until a restart");
+            LOG.warn("listen and admin stay as they are until a restart");
         }
     }
 
@@ -122,17 +125,17 @@
     }
 
     /** Of the descriptors: clients may need a third for requests at once, and some are on their way out. */
-    int mostClients() {
+    public int mostClients() {
         return sockets * 3 / 8;
     }
 
     /** What bodies may hold of the memory: the JVM and its heap's spare room need most of it. */
-    long bodyBytes() {
+    public long bodyBytes() {
         return root.path("limits").path("memory_mb").asLong(LEAST_MB) * MB / 12;
     }
 
     /** The rest, but for what the JVM, the listening, discovery and operators hold. */
-    int mostUpstream() {
+    public int mostUpstream() {
         int operators = admin == null ? 0 : AdminServer.MOST_CONNECTIONS;
         return Math.max(sockets / 4, sockets - mostClients() - RESERVED - operators);
     }
@@ -146,7 +149,7 @@
         if (given.isEmpty()) {
             return null;
         }
-        InetSocketAddress address = parseAddress(given);
+        InetSocketAddress address = Addresses.parse(given);
         if (address == null) {
             throw new IllegalArgumentException("not an address and port: PROXY_ADMIN");
         }
@@ -154,7 +157,7 @@
     }
 
     private static InetSocketAddress address(JsonNode root, String key) {
-        InetSocketAddress address = parseAddress(root.path(key).asText(""));
+        InetSocketAddress address = Addresses.parse(root.path(key).asText(""));
         if (address == null) {
             throw new IllegalArgumentException("not an address and port: " + key);
         }
@@ -169,19 +172,6 @@
         }
     }
 
-    /** A numeric address and port, or null; names are never looked up, since there is no DNS. */
-    static InetSocketAddress parseAddress(String text) {
-        int colon = text.lastIndexOf(':');
-        InetAddress host = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(
-                text.substring(0, colon));
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            return host == null || port < 0 || port > 0xffff ? null : new InetSocketAddress(host, port);
-        } catch (NumberFormatException e) {
-            return null;
-        }
-    }
-
     /** Writes a JSON tree as the path=value lines of the simulator's wire, which {@link Options} reads. */
     private static void flatten(String path, JsonNode node, StringBuilder lines) {
         if (node.isObject()) {
--- /dev/null
+++ b/sidecar/src/main/java/topazvalve/sidecar/config/package-info.java
@@ -0,0 +1,2 @@
+/** What one sidecar is told, read and checked. */
+package topazvalve.sidecar.config;
--- a/src/main/java/pondridge/sidecar/Discovery.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
@@ -1,6 +1,7 @@
-package pondridge.sidecar;
+package topazvalve.sidecar.discovery;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -25,62 +26,24 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import pondridge.Balancer.ListKind;
-import pondridge.Balancer.State;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import topazvalve.decisions.Balancer.ListKind;
 
 /** Asks discovery for the list: a watch on its changes, or the whole once. The module decides when. */
-final class Discovery {
+public final class Discovery {
+    private static final Logger LOG = LoggerFactory.getLogger("discovery");
+    private static final ObjectMapper JSON = new ObjectMapper();
     /** A call waits for up to 2 s and empty lines come every 2 s: longer silence is a break. */
     private static final long SILENCE_MS = 5_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final int LONGEST_LINE = 4 << 20;
 
-    /** One line of the list; names are still discovery's. */
-    record Target(String uid, InetSocketAddress endpoint, String zone, String kind, int cell, State state,
-            float weight, long startedMs) {
-
-        /** An entry, or null where it can't be understood. */
-        private static Target of(JsonNode node) {
-            String uid = node.path("uid").asText("");
-            State state = switch (node.path("state").asText()) {
-                case "SERVING" -> State.READY;
-                case "DRAINING" -> State.DRAINING;
-                case "DELETED" -> State.GONE;
-                default -> null;
-            };
-            InetSocketAddress endpoint = Config.parseAddress(node.path("endpoint").asText(""));
-            if (uid.isEmpty() || state == null || endpoint == null && state != State.GONE) {
-                System.err.println("discovery: entry passed over: " + node);
-                return null;
-            }
-            return new Target(uid, endpoint, node.path("az").asText(""), node.path("model").asText(""),
-                    node.path("pod_group").asInt(), state, (float) node.path("capacity_hint").asDouble(1),
-                    node.path("boot_ms").asLong());
-        }
-    }
-
-    /** A list or a change of it. */
-    record Listing(long rev, boolean all, List<Target> targets) {
-        static final Listing NONE = new Listing(0, true, List.of());
-
-        static Listing of(JsonNode node) {
-            List<Target> targets = new ArrayList<>();
-            for (JsonNode each : node.path("targets")) {
-                Target target = Target.of(each);
-                if (target != null) {
-                    targets.add(target);
-                }
-            }
-            return new Listing(node.path("rev").asLong(), node.path("all").asBoolean(), targets);
-        }
-    }
-
     private final EventLoop loop;
     private final BiConsumer<ListKind, List<Target>> listener;
     private final Set<Call> calls = new HashSet<>();
@@ -91,7 +54,7 @@
     private Call watch;
 
     /** Tells {@code listener} of each answer and each failure, on the loop. */
-    Discovery(EventLoop loop, InetSocketAddress address, long rev,
+    public Discovery(EventLoop loop, InetSocketAddress address, long rev,
             BiConsumer<ListKind, List<Target>> listener) {
         this.loop = loop;
         this.address = address;
@@ -100,7 +63,7 @@
     }
 
     /** Follows changes from the last one known; a watch that is asked for again replaces the old one. */
-    void watch(boolean on) {
+    public void watch(boolean on) {
         wanted = on;
         if (watch != null) {
             watch.close();
@@ -117,7 +80,7 @@
      * out begin again at the new one. Its versions need not follow on from the old one's, so its whole list
      * is asked for.
      */
-    void move(InetSocketAddress to) {
+    public void move(InetSocketAddress to) {
         if (to.equals(address)) {
             return;
         }
@@ -136,7 +99,7 @@
     }
 
     /** Asks for the whole list once. */
-    void fetch() {
+    public void fetch() {
         new Call(false).open();
     }
 
@@ -254,7 +217,7 @@
         }
 
         private void take() throws IOException {
-            JsonNode node = Config.JSON.readTree(line.toByteArray());
+            JsonNode node = JSON.readTree(line.toByteArray());
             line.reset();
             if (!node.path("rev").isIntegralNumber() || !node.path("targets").isArray()) {
                 fail();
@@ -280,7 +243,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            System.err.println("discovery: " + cause);
+            LOG.error("call failed", cause);
             fail();
         }
     }
--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/engine/Engine.java
@@ -1,9 +1,7 @@
-package pondridge.sidecar;
+package topazvalve.sidecar.engine;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,78 +10,39 @@
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
-import pondridge.Balancer;
-import pondridge.Balancer.ListKind;
-import pondridge.Balancer.Outcome;
-import pondridge.Balancer.Request;
-import pondridge.Balancer.State;
-import pondridge.Balancer.Upstream;
-import pondridge.Options;
-import pondridge.Rules;
-import pondridge.sidecar.classes.ClassTable;
-import pondridge.sidecar.metrics.ClassCounts;
-import pondridge.sidecar.metrics.Metrics;
-import pondridge.sidecar.stream.RequestBody;
-import pondridge.sidecar.stream.Source;
+import topazvalve.decisions.Balancer;
+import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.decisions.Balancer.Outcome;
+import topazvalve.decisions.Balancer.Request;
+import topazvalve.decisions.Balancer.State;
+import topazvalve.decisions.Balancer.Upstream;
+import topazvalve.decisions.Options;
+import topazvalve.decisions.Rules;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import topazvalve.sidecar.classes.ClassTable;
+import topazvalve.sidecar.config.Config;
+import topazvalve.sidecar.discovery.Discovery;
+import topazvalve.sidecar.discovery.Listing;
+import topazvalve.sidecar.discovery.Target;
+import topazvalve.sidecar.http.Answer;
+import topazvalve.sidecar.upstream.Attempt;
+import topazvalve.sidecar.upstream.AttemptListener;
+import topazvalve.sidecar.upstream.Upstreams;
+import topazvalve.sidecar.metrics.ClassCounts;
+import topazvalve.sidecar.metrics.Metrics;
+import topazvalve.sidecar.stream.Source;
 
 /**
  * The only caller of the module: tells it events one after the other, on the event loop, and carries out what
  * it orders. Whatever module and upstreams do, a request gets one final answer and a send one outcome.
  */
-final class Engine implements Balancer.Actions, Metrics.Gauges {
+public final class Engine implements Balancer.Actions, Metrics.Gauges {
+    private static final Logger LOG = LoggerFactory.getLogger("engine");
+    private static final Logger MODULE = LoggerFactory.getLogger("module");
     /** What of a client's wait is kept for the answer's way back; the module does not know of it. */
     private static final long ANSWER_ROOM = 10_000_000;
 
-    /** A request as a frontend took it; the last byte of its body may still be to come. */
-    record Job(ClassTable.Entry requestClass, int tenant, long key, long waitMs, long costHint,
-            boolean clientRetry, boolean write, Message message, RequestBody body) { }
-
-    /** What an upstream answered. */
-    record Answer(HttpHeaders headers, byte[] body) { }
-
-    /** Takes a request's one final answer: whole, or begun and then more, up to its end or a cut. */
-    interface Client {
-        void served(Answer answer);
-
-        /** Of an answer too large to be held, the first bytes; {@code length} is -1 where nobody has said. */
-        void begun(Answer first, long length, Source rest);
-
-        /** Takes over the buffer. */
-        void more(ByteBuf bytes);
-
-        /** All of an answer that was begun has come. */
-        void finished();
-
-        /** The rest of an answer that was begun will not come: the client must be able to tell. */
-        void cut();
-
-        /** Refused: trying again is harmless, best after {@code wait} nanoseconds where that is not 0. */
-        void refused(long wait);
-
-        void failed();
-    }
-
-    private static final class Call {
-        private final Job job;
-        private final Client client;
-        private final ClassCounts counts;
-        private final int tryLimit;
-        private long deadline;
-        private final List<Upstreams.Attempt> attempts = new ArrayList<>(1);
-        private Future<?> timer;
-        private int out;
-        /** The attempt whose answer has begun, which from then on is the client's. */
-        private Upstreams.Attempt begun;
-        private boolean over;
-
-        Call(Job job, Client client, ClassCounts counts, int tryLimit) {
-            this.job = job;
-            this.client = client;
-            this.counts = counts;
-            this.tryLimit = tryLimit;
-        }
-    }
-
     private final EventLoop loop;
     private final Balancer rules;
     private final int mostOpen;
@@ -101,7 +60,7 @@
     private boolean telling;
     private long lastId;
 
-    Engine(EventLoop loop, Config config, int mostOpen, Metrics metrics, ClassTable classes) {
+    public Engine(EventLoop loop, Config config, int mostOpen, Metrics metrics, ClassTable classes) {
         this.loop = loop;
         this.mostOpen = mostOpen;
         this.metrics = metrics;
@@ -124,18 +83,18 @@
     }
 
     /** Begins with the cached list; on the loop, like all that follows. */
-    void start(Discovery.Listing known) {
+    public void start(Listing known) {
         tell(rules::start);
         listed(ListKind.CACHED, known.targets());
     }
 
     /** Holds no more connections; for one that never began. */
-    void stop() {
+    public void stop() {
         upstreams.close();
     }
 
     /** Takes a new configuration over: the settings, and where discovery is. */
-    void reconfigure(Config config) {
+    public void reconfigure(Config config) {
         Balancer.Settings settings = take(config.options());
         upstreams.retune(config.options());
         tell(now -> rules.retuned(now, settings));
@@ -159,7 +118,7 @@
                 try {
                     next.accept(now());
                 } catch (RuntimeException e) {
-                    System.err.println("engine: " + e);
+                    LOG.error("event not handled", e);
                 }
             }
         } finally {
@@ -171,10 +130,10 @@
         return numbers.computeIfAbsent(name, added -> numbers.size());
     }
 
-    private void listed(ListKind kind, List<Discovery.Target> targets) {
+    private void listed(ListKind kind, List<Target> targets) {
         List<Upstream> entries = new ArrayList<>(targets.size());
-        Map<Long, Discovery.Target> named = new HashMap<>();
-        for (Discovery.Target target : targets) {
+        Map<Long, Target> named = new HashMap<>();
+        for (Target target : targets) {
             long id = upstreamIds.computeIfAbsent(target.uid(), uid -> upstreamIds.size() + 1L);
             named.put(id, target);
             entries.add(new Upstream(id, number(zones, target.zone()), number(kinds, target.kind()),
@@ -197,7 +156,7 @@
     }
 
     /** Takes a request; returns the number under which {@link #hangup} knows it. */
-    long submit(Job job, Client client) {
+    public long submit(Job job, Client client) {
         ClassCounts counts = metrics.of(job.requestClass().name());
         if (calls.size() >= mostOpen) {
             counts.refused();
@@ -238,7 +197,7 @@
     }
 
     /** The client has gone away. An answer that has begun goes with it. */
-    void hangup(long id) {
+    public void hangup(long id) {
         Call call = calls.get(id);
         if (call != null && !call.over) {
             finish(id, call, () -> { });
@@ -301,14 +260,14 @@
             wait = Math.min(wait, timeout);
         }
         call.attempts.add(null);
-        Upstreams.Listener listener = new Upstreams.Listener() {
+        AttemptListener listener = new AttemptListener() {
             @Override
             public void written() {
                 call.counts.tried();
             }
 
             @Override
-            public void begun(Upstreams.Attempt attempt, Answer first, long length, Source rest) {
+            public void begun(Attempt attempt, Answer first, long length, Source rest) {
                 Engine.this.begun(request, call, number, upstream, now, attempt, () ->
                         call.client.begun(first, length, rest));
             }
@@ -327,7 +286,7 @@
                 upstreams.send(upstream, call.job.message(), call.job.body(), wait, listener));
     }
 
-    private void begun(long id, Call call, int number, long upstream, long sentAt, Upstreams.Attempt attempt,
+    private void begun(long id, Call call, int number, long upstream, long sentAt, Attempt attempt,
             Runnable answer) {
         if (call.over) {
             attempt.cancel();
@@ -419,7 +378,7 @@
 
     @Override
     public void log(String line) {
-        System.err.println("module: " + line);
+        MODULE.info("{}", line);
     }
 
     @Override
--- /dev/null
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/ClientConnection.java
@@ -0,0 +1,468 @@
+package topazvalve.sidecar.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
+import java.util.ArrayDeque;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import topazvalve.sidecar.engine.Client;
+import topazvalve.sidecar.engine.Engine;
+import topazvalve.sidecar.engine.Job;
+import topazvalve.sidecar.http.Answer;
+import topazvalve.sidecar.lifecycle.Lifecycle;
+import topazvalve.sidecar.stream.ByteBudget;
+import topazvalve.sidecar.stream.RequestBody;
+import topazvalve.sidecar.stream.Source;
+
+/** One client's connection: one request at a time, each answered once. */
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements Client {
+    private static final Logger LOG = LoggerFactory.getLogger("frontend");
+    private static final int LARGEST_BODY = 1 << 25;
+    /** From the connecting, or a used connection's first byte, to a head's end; then without a byte. */
+    private static final long REQUEST_TIME = 2_500_000_000L;
+    /** Clients keep connections; one that is not used for so long is not missed. */
+    private static final long IDLE_TIME = 3_000_000_000L;
+    /** A client that takes nothing of its answer holds memory; a slow one takes some now and then. */
+    private static final long TAKE_TIME = 15_000_000_000L;
+    /** After an error is told: a close with bytes unread would reset the connection and lose the error. */
+    private static final long LINGER_TIME = 1_000_000_000L;
+    private static final int LINGER_BYTES = 1 << 20;
+    /** A new connection's request comes at once; one that is silent for longer makes room first. */
+    private static final long SILENT_TIME = 100_000_000;
+    /** A connection made while the sidecar empties is given so long for its request. */
+    private static final long FIRST_TIME = 300_000_000;
+    private final Frontend owner;
+    private final Engine engine;
+    private final RequestReader reader;
+    private final Lifecycle lifecycle;
+    private final ByteBudget budget;
+    private final Channel channel;
+    /** What came behind an open request. Such a client is read no further: it is one read's worth. */
+    private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>(1);
+    private Stage stage = Stage.NEW;
+    private long since = System.nanoTime();
+    private int lingered;
+    private Job job;
+    private RequestBody body;
+    /** Whether the end of the body is still to come. */
+    private boolean incoming;
+    private boolean keepAlive;
+    private boolean oldVersion;
+    private String id;
+    private boolean idTaken;
+    private long request;
+    /** Where the rest of an answer comes from that is passed on as it comes; null if none is. */
+    private Source source;
+    private boolean paused;
+    private long unsent;
+
+    ClientConnection(Frontend owner, Engine engine, RequestReader reader, Lifecycle lifecycle,
+            ByteBudget budget, Channel channel) {
+        this.owner = owner;
+        this.engine = engine;
+        this.reader = reader;
+        this.lifecycle = lifecycle;
+        this.budget = budget;
+        this.channel = channel;
+    }
+
+    /** Bytes have come; false if they are to be dropped, since the client was turned away. */
+    boolean heard(int bytes) {
+        if (stage == Stage.LINGERING) {
+            lingered += bytes;
+            if (lingered > LINGER_BYTES) {
+                channel.config().setAutoRead(false);
+            }
+            return false;
+        }
+        if (stage == Stage.IDLE) {
+            enter(Stage.READING);
+        } else if (stage == Stage.NEW) {
+            stage = Stage.READING;
+        }
+        return true;
+    }
+
+    /** When the present stage began or last moved on; {@link System#nanoTime}. */
+    long since() {
+        return since;
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    private void enter(Stage next) {
+        stage = next;
+        since = System.nanoTime();
+    }
+
+    /** The stage, with a new connection that has been silent for long told from one just made. */
+    Stage spare(long now) {
+        return stage == Stage.NEW && now - since > SILENT_TIME ? Stage.SILENT : stage;
+    }
+
+    void checkTime(long now) {
+        if (stage.compareTo(Stage.READING) < 0 && stage != Stage.LINGERING && lifecycle.closesIdle()
+                && now - since > FIRST_TIME) {
+            channel.close();
+            return;
+        }
+        // Who is kept waiting by the sidecar is not late.
+        boolean mute = incoming && channel.config().isAutoRead();
+        long limit = switch (stage) {
+            case LINGERING -> LINGER_TIME;
+            case IDLE -> IDLE_TIME;
+            case ANSWERED -> source != null && unsent == 0 ? Long.MAX_VALUE : TAKE_TIME;
+            case ASKED -> mute ? REQUEST_TIME : Long.MAX_VALUE;
+            default -> REQUEST_TIME;
+        };
+        if (now - since <= limit) {
+            return;
+        }
+        if (stage == Stage.READING || stage == Stage.ASKED) {
+            reject(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time");
+        } else {
+            channel.close();
+        }
+    }
+
+    private boolean occupied() {
+        return stage == Stage.ASKED || stage == Stage.ANSWERED;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (!waiting.isEmpty() || occupied() && !incoming) {
+            channel.config().setAutoRead(false);
+            waiting.add(ReferenceCountUtil.retain(message));
+        } else {
+            take(message);
+        }
+    }
+
+    private void take(HttpObject message) {
+        if (stage == Stage.LINGERING || !channel.isActive()) {
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            reject(Replies.status(message.decoderResult().cause()), "malformed request");
+            return;
+        }
+        if (message instanceof HttpRequest head) {
+            begin(head);
+        }
+        if (message instanceof HttpContent content && stage != Stage.LINGERING) {
+            add(content);
+        }
+    }
+
+    /**
+     * More of the body has come. It is held until it is whole or its share of the memory is full; only
+     * then is the request passed on, so that an upstream is chosen late and can be chosen again.
+     */
+    private void add(HttpContent content) {
+        since = System.nanoTime();
+        if (body.received() + content.content().readableBytes() > LARGEST_BODY) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
+            return;
+        }
+        body.add(content.content());
+        if (content instanceof LastHttpContent) {
+            incoming = false;
+            body.end();
+            if (stage == Stage.READING) {
+                submit();
+            }
+        } else if (body.full()) {
+            channel.config().setAutoRead(false);
+            if (stage == Stage.READING) {
+                submit();
+            }
+        }
+    }
+
+    /** There is room for more of the body. */
+    private void readOn() {
+        if (waiting.isEmpty() && !channel.config().isAutoRead()) {
+            since = System.nanoTime();
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    /** Looks at all that a request's head tells, so that the body of a bad one need not come. */
+    private void begin(HttpRequest head) {
+        stage = Stage.READING;
+        since = System.nanoTime();
+        keepAlive = HttpUtil.isKeepAlive(head);
+        oldVersion = head.protocolVersion().minorVersion() == 0;
+        job = null;
+        body = new RequestBody(budget, HttpUtil.getContentLength(head, -1L));
+        body.onRoom(this::readOn);
+        incoming = true;
+        String path = RequestReader.path(head.uri());
+        try {
+            RequestReader.framed(head);
+            if (path.equals("/api") || path.startsWith("/api/")) {
+                job = reader.job(head, path, body);
+                id = head.headers().get("Req-Id");
+            } else if (!path.equals("/up")) {
+                reject(HttpResponseStatus.NOT_FOUND, "no such path");
+                return;
+            }
+        } catch (IllegalArgumentException e) {
+            reject(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+            return;
+        }
+        if (HttpUtil.getContentLength(head, 0L) > LARGEST_BODY) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
+        } else if (HttpUtil.is100ContinueExpected(head)) {
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    /** The request is whole, or has as much as may be held of it. */
+    private void submit() {
+        if (job == null) {
+            answer(Replies.plain(lifecycle.takesClients() ? HttpResponseStatus.OK
+                    : HttpResponseStatus.SERVICE_UNAVAILABLE, ""));
+            return;
+        }
+        idTaken = owner.takeId(id);
+        if (!idTaken) {
+            reject(HttpResponseStatus.CONFLICT, "Req-Id in use");
+            return;
+        }
+        Job taken = job;
+        job = null;
+        enter(Stage.ASKED);
+        long number = engine.submit(taken, this);
+        // The answer may have come within that call.
+        if (stage == Stage.ASKED) {
+            request = number;
+        }
+    }
+
+    @Override
+    public void served(Answer answer) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()));
+        response.headers().set(answer.headers());
+        answer(response);
+    }
+
+    @Override
+    public void refused(long wait) {
+        FullHttpResponse response = Replies.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused");
+        if (wait > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER,
+                    BigDecimal.valueOf(wait, 9).setScale(3, RoundingMode.UP).toPlainString());
+        }
+        answer(response);
+    }
+
+    @Override
+    public void failed() {
+        answer(Replies.plain(HttpResponseStatus.BAD_GATEWAY, "failed"));
+    }
+
+    @Override
+    public void begun(Answer first, long length, Source rest) {
+        enter(Stage.ANSWERED);
+        source = rest;
+        budget.enter();
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        response.headers().set(first.headers()).remove(HttpHeaderNames.CONTENT_LENGTH);
+        if (length >= 0) {
+            HttpUtil.setContentLength(response, length);
+        } else if (oldVersion) {
+            keepAlive = false;
+        } else {
+            HttpUtil.setTransferEncodingChunked(response, true);
+        }
+        keepAlive = keeps();
+        if (!keepAlive) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        channel.write(response);
+        more(Unpooled.wrappedBuffer(first.body()));
+    }
+
+    @Override
+    public void more(ByteBuf bytes) {
+        int size = bytes.readableBytes();
+        unsent += size;
+        channel.writeAndFlush(new DefaultHttpContent(bytes)).addListener(done -> taken(size));
+        if (unsent > budget.share() && source != null && !paused) {
+            paused = true;
+            source.pause();
+        }
+    }
+
+    /** The client's side has taken some of an answer. */
+    private void taken(int size) {
+        unsent -= size;
+        since = System.nanoTime();
+        if (paused && source != null && unsent <= budget.share() / 2) {
+            paused = false;
+            source.resume();
+        }
+    }
+
+    @Override
+    public void finished() {
+        endFlow();
+        end(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepAlive);
+    }
+
+    /** Short of its length or of its last chunk an answer is seen to be cut; else only a reset tells. */
+    @Override
+    public void cut() {
+        endFlow();
+        if (oldVersion) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private void endFlow() {
+        forget();
+        source = null;
+        paused = false;
+        budget.leave();
+    }
+
+    /** Whether the connection stays: a request that has been read already must be answered first. */
+    private boolean keeps() {
+        return keepAlive && (!lifecycle.emptying() || !waiting.isEmpty());
+    }
+
+    private void answer(FullHttpResponse response) {
+        if (incoming) {
+            // Where the rest of the body ends, if it comes at all, is of no interest any more.
+            end(response);
+            return;
+        }
+        forget();
+        enter(Stage.ANSWERED);
+        boolean keep = keeps();
+        HttpUtil.setContentLength(response, response.content().readableBytes());
+        if (!keep) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        end(channel.writeAndFlush(response), keep);
+    }
+
+    private void end(ChannelFuture written, boolean keep) {
+        if (!keep) {
+            written.addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        written.addListener(done -> {
+            enter(Stage.IDLE);
+            // Not from within this call: a row of requests would nest as deep as it is long.
+            channel.eventLoop().execute(this::proceed);
+        });
+    }
+
+    /** Goes on with what came meanwhile. */
+    private void proceed() {
+        while (!waiting.isEmpty() && (incoming || !occupied())) {
+            HttpObject next = waiting.poll();
+            try {
+                take(next);
+            } finally {
+                ReferenceCountUtil.release(next);
+            }
+        }
+        if (waiting.isEmpty() && (incoming ? !body.full() : !occupied()) && lingered <= LINGER_BYTES) {
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    /** The request that was open is no more. */
+    private void forget() {
+        if (idTaken) {
+            owner.releaseId(id);
+            idTaken = false;
+        }
+        request = 0;
+        if (body != null) {
+            body.discard();
+        }
+    }
+
+    private void reject(HttpResponseStatus status, String text) {
+        long open = request;
+        end(Replies.plain(status, text));
+        if (open != 0) {
+            engine.hangup(open);
+        }
+    }
+
+    /** Answers, sends no more, and for a while reads on what is dropped unseen. */
+    private void end(FullHttpResponse response) {
+        enter(Stage.LINGERING);
+        job = null;
+        incoming = false;
+        forget();
+        waiting.forEach(ReferenceCountUtil::release);
+        waiting.clear();
+        channel.config().setAutoRead(true);
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        HttpUtil.setContentLength(response, response.content().readableBytes());
+        channel.writeAndFlush(response).addListener(done -> ((DuplexChannel) channel).shutdownOutput());
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        owner.left(this);
+        long open = request;
+        if (source != null) {
+            endFlow();
+        }
+        forget();
+        enter(Stage.LINGERING);
+        incoming = false;
+        waiting.forEach(ReferenceCountUtil::release);
+        waiting.clear();
+        if (open != 0) {
+            engine.hangup(open);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException || cause instanceof DecoderException)) {
+            LOG.error("connection failed", cause);
+        }
+        channel.close();
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/Frontend.java
@@ -0,0 +1,121 @@
+package topazvalve.sidecar.front;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import topazvalve.sidecar.classes.ClassTable;
+import topazvalve.sidecar.engine.Engine;
+import topazvalve.sidecar.lifecycle.Lifecycle;
+import topazvalve.sidecar.stream.ByteBudget;
+
+/**
+ * The application's side: reads requests, answers each once, and tells malformed ones so itself. A client
+ * that sends what can't be used is told at once, and its connection ends; nobody holds one for longer than a
+ * request takes.
+ */
+public final class Frontend {
+    /** A request's id is held to be in use for a while after its answer: clients never use one again. */
+    private static final long ID_TIME = 2_000_000_000L;
+    private static final long SWEEP_MS = 100;
+
+    private record Past(String id, long at) { }
+
+    private final Engine engine;
+    private final RequestReader reader;
+    private final int mostConnections;
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private final Set<String> ids = new HashSet<>();
+    private final ArrayDeque<Past> past = new ArrayDeque<>();
+    private final Lifecycle lifecycle;
+    private final ByteBudget budget;
+    private final Future<?> sweeping;
+
+    /** Serves on this loop. */
+    public Frontend(EventLoop loop, Engine engine, ClassTable classes, List<String> tenantNames,
+            int mostConnections, Lifecycle lifecycle, ByteBudget budget) {
+        this.engine = engine;
+        this.budget = budget;
+        this.lifecycle = lifecycle;
+        this.reader = new RequestReader(classes, tenantNames);
+        this.mostConnections = mostConnections;
+        sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes up a connection that was made; there are requests on it at once, whatever {@code /up} says. */
+    public ChannelHandler connections() {
+        return new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel made) {
+                if (connections.size() >= mostConnections && !makeRoom()) {
+                    made.close();
+                    return;
+                }
+                ClientConnection connection = new ClientConnection(Frontend.this, engine, reader,
+                        lifecycle, budget, made);
+                connections.add(connection);
+                made.pipeline().addLast(new HttpResponseEncoder(), new RequestDecoder(connection),
+                        connection);
+            }
+        };
+    }
+
+    /** Looks after nobody any more. */
+    public void stop() {
+        sweeping.cancel(false);
+    }
+
+    /** Whether no client is connected any more. */
+    public boolean empty() {
+        return connections.isEmpty();
+    }
+
+    /** Closes the connection that is missed least; false if each holds a whole request. */
+    private boolean makeRoom() {
+        long now = System.nanoTime();
+        ClientConnection least = null;
+        for (ClientConnection each : connections) {
+            Stage stage = each.spare(now);
+            if (stage.compareTo(Stage.ASKED) < 0 && (least == null || stage.compareTo(least.spare(now)) < 0
+                    || stage == least.spare(now) && each.since() < least.since())) {
+                least = each;
+            }
+        }
+        if (least != null) {
+            least.close();
+        }
+        return least != null;
+    }
+
+    private void sweep() {
+        long now = System.nanoTime();
+        for (ClientConnection connection : List.copyOf(connections)) {
+            connection.checkTime(now);
+        }
+        while (!past.isEmpty() && now - past.peek().at > ID_TIME) {
+            ids.remove(past.poll().id);
+        }
+    }
+
+    /** Whether nobody uses a request's id, nor has of late; from now on it is in use. */
+    boolean takeId(String id) {
+        return ids.add(id);
+    }
+
+    /** Its request is no more; the id counts as in use for a while yet. */
+    void releaseId(String id) {
+        past.add(new Past(id, System.nanoTime()));
+    }
+
+    void left(ClientConnection connection) {
+        connections.remove(connection);
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/Replies.java
@@ -0,0 +1,32 @@
+package topazvalve.sidecar.front;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import java.nio.charset.StandardCharsets;
+
+/** The answers that the sidecar words itself. */
+final class Replies {
+    private Replies() { }
+
+    static HttpResponseStatus status(Throwable cause) {
+        if (cause instanceof TooLongHttpHeaderException) {
+            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
+        return cause instanceof TooLongHttpLineException ? HttpResponseStatus.REQUEST_URI_TOO_LONG
+                : HttpResponseStatus.BAD_REQUEST;
+    }
+
+    static FullHttpResponse plain(HttpResponseStatus status, String text) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
+        return response;
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/RequestReader.java
@@ -0,0 +1,112 @@
+package topazvalve.sidecar.front;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import java.util.List;
+import topazvalve.decisions.Balancer.Semantics;
+import topazvalve.sidecar.classes.ClassTable;
+import topazvalve.sidecar.engine.Job;
+import topazvalve.sidecar.http.Headers;
+import topazvalve.sidecar.http.Message;
+import topazvalve.sidecar.stream.RequestBody;
+
+/** Reads what a request's head tells; what can't be used is an {@link IllegalArgumentException}. */
+final class RequestReader {
+    private static final int LONGEST_ID = 128;
+    private static final String KEY = "Idempotency-Key";
+    private final ClassTable classes;
+    private final List<String> tenantNames;
+
+    RequestReader(ClassTable classes, List<String> tenantNames) {
+        this.classes = classes;
+        this.tenantNames = tenantNames;
+    }
+
+    static String path(String uri) {
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+
+    /** Rejects what two readers could take for requests of different lengths. */
+    static void framed(HttpRequest message) {
+        HttpHeaders headers = message.headers();
+        boolean coded = headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+        if (message.protocolVersion().majorVersion() != 1 || coded && !Headers.onlyChunked(message)) {
+            throw new IllegalArgumentException("version or transfer coding not supported");
+        }
+        if (!message.method().equals(HttpMethod.POST)
+                && (coded || HttpUtil.getContentLength(message, 0L) > 0)) {
+            throw new IllegalArgumentException("body where none belongs");
+        }
+        if (!message.uri().chars().allMatch(each -> each > ' ' && each < 0x7f)) {
+            throw new IllegalArgumentException("path can't be read");
+        }
+        for (String name : headers.names()) {
+            boolean once = name.regionMatches(true, 0, "Req-", 0, 4) || name.equalsIgnoreCase(KEY)
+                    || name.equalsIgnoreCase("Host");
+            if (once && headers.getAll(name).size() > 1) {
+                throw new IllegalArgumentException("repeated " + name);
+            }
+        }
+    }
+
+    Job job(HttpRequest message, String path, RequestBody body) {
+        if (header(message, "Req-Id").length() > LONGEST_ID) {
+            throw new IllegalArgumentException("Req-Id too long");
+        }
+        ClassTable.Entry kind = classes.named(header(message, "Req-Kind"));
+        if (kind == null) {
+            throw new IllegalArgumentException("unknown Req-Kind");
+        }
+        int tenant = 0;
+        if (!tenantNames.isEmpty()) {
+            tenant = tenantNames.indexOf(header(message, "Req-Owner"));
+            if (tenant < 0) {
+                throw new IllegalArgumentException("unknown Req-Owner");
+            }
+        }
+        String idempotencyKey = message.headers().get(KEY);
+        Semantics semantics = kind.rules().semantics();
+        HttpMethod method = semantics == Semantics.REPEATABLE ? HttpMethod.GET : HttpMethod.POST;
+        if (!message.method().equals(method)
+                || (semantics == Semantics.BY_KEY) != (idempotencyKey != null && !idempotencyKey.isEmpty())) {
+            throw new IllegalArgumentException("method or Idempotency-Key does not fit the class");
+        }
+        // Nobody waits for longer than the class allows, whatever the header says.
+        long wait = Math.min(number(message, "Req-Deadline-Ms"), kind.rules().deadline() / 1_000_000);
+        long cost = message.headers().contains("Req-Cost") ? number(message, "Req-Cost") * 1000 : 0;
+        return new Job(kind, tenant, key(path), wait, cost,
+                "1".equals(message.headers().get("Req-Retry")), semantics != Semantics.REPEATABLE,
+                new Message(method, message.uri(), message.headers()), body);
+    }
+
+    private static String header(HttpRequest message, String name) {
+        String value = message.headers().get(name);
+        if (value == null || value.isEmpty()) {
+            throw new IllegalArgumentException("missing " + name);
+        }
+        return value;
+    }
+
+    /** A whole number that is neither negative nor longer than any wait or work can be. */
+    private static long number(HttpRequest message, String name) {
+        String value = header(message, name);
+        if (value.length() > 9 || !value.chars().allMatch(digit -> digit >= '0' && digit <= '9')) {
+            throw new IllegalArgumentException("not a whole number: " + name);
+        }
+        return Long.parseLong(value);
+    }
+
+    /** What the request is about, as a number: the same for the same last part of the path, 0 for none. */
+    private static long key(String path) {
+        String last = path.substring(path.lastIndexOf('/') + 1);
+        long key = 0;
+        for (int i = 0; i < last.length(); i++) {
+            key = key * 0x100000001b3L + last.charAt(i);
+        }
+        return key;
+    }
+}
--- a/src/main/java/pondridge/sidecar/Headers.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/http/Headers.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package topazvalve.sidecar.http;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -9,7 +9,7 @@
 import java.util.Map;
 
 /** Which headers go on through the sidecar. */
-final class Headers {
+public final class Headers {
     /** They speak of one connection, or tell the sidecar what is not for the application. */
     private static final List<CharSequence> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
             "Proxy-Connection", "Keep-Alive", HttpHeaderNames.TE, HttpHeaderNames.TRAILER,
@@ -20,7 +20,7 @@
     private Headers() { }
 
     /** Whether a message's transfer coding is plain chunks: any other leaves open where it ends. */
-    static boolean onlyChunked(HttpMessage message) {
+    public static boolean onlyChunked(HttpMessage message) {
         List<String> codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         return codings.size() == 1 && codings.get(0).trim().equalsIgnoreCase("chunked")
                 && message.protocolVersion().equals(HttpVersion.HTTP_1_1)
@@ -28,7 +28,7 @@
     }
 
     /** Copies all but the headers of one hop, and of those also what {@code Connection} names. */
-    static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
+    public static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
         for (Map.Entry<String, String> header : from) {
             String name = header.getKey();
             if (HOP_BY_HOP.stream().noneMatch(hop -> AsciiString.contentEqualsIgnoreCase(hop, name))) {
--- a/src/main/java/pondridge/sidecar/Message.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/http/Message.java
@@ -1,7 +1,7 @@
-package pondridge.sidecar;
+package topazvalve.sidecar.http;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 
 /** What a client asked, in HTTP's terms: for the upstreams' side alone, the engine hands it on unseen. */
-record Message(HttpMethod method, String uri, HttpHeaders headers) { }
+public record Message(HttpMethod method, String uri, HttpHeaders headers) { }
--- a/src/main/java/pondridge/sidecar/lifecycle/Lifecycle.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/lifecycle/Lifecycle.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar.lifecycle;
+package topazvalve.sidecar.lifecycle;
 
 /**
  * Whether the sidecar takes clients. It does once it has started, unless it is a lame duck, which can be
--- a/src/main/java/pondridge/sidecar/listen/ClientListener.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/listen/ClientListener.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar.listen;
+package topazvalve.sidecar.listen;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -11,10 +11,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
-import pondridge.sidecar.stream.ByteBudget;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import topazvalve.sidecar.stream.ByteBudget;
 
 /** Takes clients' connections, from a socket that it binds or from one that was handed down. */
 public final class ClientListener {
+    private static final Logger LOG = LoggerFactory.getLogger("topazvalve");
     private static final int BACKLOG = 1024;
 
     private final InetSocketAddress address;
@@ -46,8 +49,7 @@
             throw new IllegalArgumentException("descriptor 0 is no listening socket: PROXY_FD");
         }
         if (!address.equals(socket.getLocalAddress())) {
-            System.err.println("pondridge: listening at " + socket.getLocalAddress()
-                    + " as handed down, not at " + address);
+            LOG.warn("listening at {} as handed down, not at {}", socket.getLocalAddress(), address);
         }
         return new ClientListener(address, socket);
     }
--- a/src/main/java/pondridge/sidecar/listen/package-info.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/listen/package-info.java
@@ -1,2 +1,2 @@
 /** The clients' listening socket: this process's own, or one that the platform holds and several share. */
-package pondridge.sidecar.listen;
+package topazvalve.sidecar.listen;
--- a/src/main/java/pondridge/sidecar/metrics/ClassCounts.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/metrics/ClassCounts.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar.metrics;
+package topazvalve.sidecar.metrics;
 
 /** One class's counts since the process started. */
 public final class ClassCounts {
--- a/src/main/java/pondridge/sidecar/metrics/Metrics.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/metrics/Metrics.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar.metrics;
+package topazvalve.sidecar.metrics;
 
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/src/main/java/pondridge/sidecar/metrics/package-info.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/metrics/package-info.java
@@ -1,2 +1,2 @@
 /** What the sidecar has done, counted for its operators. */
-package pondridge.sidecar.metrics;
+package topazvalve.sidecar.metrics;
--- /dev/null
+++ b/sidecar/src/main/java/topazvalve/sidecar/net/package-info.java
@@ -0,0 +1,2 @@
+/** Addresses on the network. */
+package topazvalve.sidecar.net;
--- a/src/main/java/pondridge/sidecar/package-info.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/package-info.java
@@ -1,2 +1,2 @@
 /** The sidecar on real sockets: one event loop thread carries the module's decisions out. */
-package pondridge.sidecar;
+package topazvalve.sidecar;
--- a/src/main/java/pondridge/sidecar/stream/ByteBudget.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/stream/ByteBudget.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar.stream;
+package topazvalve.sidecar.stream;
 
 /**
  * The bytes of bodies that the process may hold, shared out evenly among the bodies under way. Each keeps to
--- a/src/main/java/pondridge/sidecar/stream/RequestBody.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/stream/RequestBody.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar.stream;
+package topazvalve.sidecar.stream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/pondridge/sidecar/stream/Source.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/stream/Source.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar.stream;
+package topazvalve.sidecar.stream;
 
 /** Where bytes come from that are passed on as they come. */
 public interface Source {
--- /dev/null
+++ b/sidecar/src/main/java/topazvalve/sidecar/upstream/LoadReport.java
@@ -0,0 +1,56 @@
+package topazvalve.sidecar.upstream;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
+
+/**
+ * The load reports of a deployment: the names of their values, in the order that the settings give, and how
+ * one is read. A report that can't be read is none; it spoils nothing else.
+ */
+final class LoadReport {
+    static final String PATH = "/metrics/load";
+    static final float[] NONE = {};
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final List<String> fields;
+
+    LoadReport(List<String> fields) {
+        this.fields = fields;
+    }
+
+    /** Where a probe asks: for the report where the deployment has reports, else for the health. */
+    String path() {
+        return fields.isEmpty() ? "/alive" : PATH;
+    }
+
+    /** The load report in the order of the settings' fields; empty where there is none that can be read. */
+    float[] read(HttpResponse response, String probed) {
+        String text = response.headers().get("Srv-Load");
+        if (text == null) {
+            text = probed;
+        }
+        if (text == null || fields.isEmpty()) {
+            return NONE;
+        }
+        try {
+            JsonNode node = JSON.readTree(text);
+            float[] values = new float[fields.size()];
+            for (int i = 0; i < values.length; i++) {
+                JsonNode value = node.path(fields.get(i));
+                if (!value.isNumber()) {
+                    return NONE;
+                }
+                values[i] = value.floatValue();
+                if (!(values[i] >= 0 && values[i] < Float.POSITIVE_INFINITY)) {
+                    return NONE;
+                }
+            }
+            return values;
+        } catch (JsonProcessingException e) {
+            return NONE;
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/topazvalve/sidecar/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to upstreams, and the attempts on them. */
+package topazvalve.sidecar.upstream;
--- a/src/test/java/pondridge/sidecar/Bed.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/Bed.java
@@ -1,5 +1,6 @@
-package pondridge.sidecar;
+package topazvalve.sidecar;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
@@ -12,15 +13,19 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
-import pondridge.sidecar.admin.AdminServer;
-import pondridge.sidecar.classes.ClassTable;
-import pondridge.sidecar.lifecycle.Lifecycle;
-import pondridge.sidecar.listen.ClientListener;
-import pondridge.sidecar.metrics.Metrics;
-import pondridge.sidecar.stream.ByteBudget;
+import topazvalve.sidecar.admin.AdminServer;
+import topazvalve.sidecar.classes.ClassTable;
+import topazvalve.sidecar.config.Config;
+import topazvalve.sidecar.engine.Engine;
+import topazvalve.sidecar.front.Frontend;
+import topazvalve.sidecar.lifecycle.Lifecycle;
+import topazvalve.sidecar.listen.ClientListener;
+import topazvalve.sidecar.metrics.Metrics;
+import topazvalve.sidecar.stream.ByteBudget;
 
 /** A sidecar in this process, with its upstreams known from the start, and a client for it. */
 final class Bed implements AutoCloseable {
+    static final ObjectMapper JSON = new ObjectMapper();
     static final int LONG_MS = 20_000;
     static final int MOST = 100;
 
@@ -58,7 +63,7 @@
 
     /** A configuration with classes look (safe), hold (keyed) and book (unsafe), and one tenant. */
     static ObjectNode json(Stub... upstreams) throws IOException {
-        ObjectNode root = (ObjectNode) Config.JSON.readTree("""
+        ObjectNode root = (ObjectNode) JSON.readTree("""
                 {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
                  "known":{"rev":41,"all":true,"targets":[]},
@@ -83,7 +88,7 @@
     }
 
     static ObjectNode target(String uid, String endpoint, String state) {
-        return Config.JSON.createObjectNode().put("uid", uid).put("endpoint", endpoint).put("az", "a")
+        return JSON.createObjectNode().put("uid", uid).put("endpoint", endpoint).put("az", "a")
                 .put("model", "m").put("pod_group", 1).put("state", state).put("capacity_hint", 1.0)
                 .put("boot_ms", 0);
     }
--- a/src/test/java/pondridge/sidecar/BulkTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/BulkTest.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package topazvalve.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
--- a/src/test/java/pondridge/sidecar/ConfigTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/ConfigTest.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package topazvalve.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -11,8 +11,10 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pondridge.Balancer.Semantics;
-import pondridge.Balancer.Settings;
+import topazvalve.decisions.Balancer.Semantics;
+import topazvalve.decisions.Balancer.Settings;
+import topazvalve.sidecar.config.Config;
+import topazvalve.sidecar.net.Addresses;
 
 /** The configuration, and the settings in it as the module is told them. */
 class ConfigTest {
@@ -71,10 +73,10 @@
     void deadlinesAndAttemptsAreNumbersAboveNought() throws Exception {
         for (String bad : List.of("0", "-1", "\"soon\"", "\"5\"", "null", "true", "[5]", "{}")) {
             ObjectNode json = Bed.json();
-            json.withObject("/settings/caps").set("tryLimit", Config.JSON.readTree(bad));
+            json.withObject("/settings/caps").set("tryLimit", Bed.JSON.readTree(bad));
             assertNames("caps.tryLimit", json);
             json = Bed.json();
-            ((ObjectNode) json.at("/settings/profiles/1")).set("deadline", Config.JSON.readTree(bad));
+            ((ObjectNode) json.at("/settings/profiles/1")).set("deadline", Bed.JSON.readTree(bad));
             assertNames("profiles.1.deadline", json);
         }
     }
@@ -111,9 +113,9 @@
     /** There is no DNS: a name would block the event loop until the resolver gives up. */
     @Test
     void onlyNumericAddressesAreTaken() {
-        assertEquals(8080, Config.parseAddress("127.0.0.1:8080").getPort());
+        assertEquals(8080, Addresses.parse("127.0.0.1:8080").getPort());
         for (String bad : List.of("", "localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000", ":80")) {
-            assertNull(Config.parseAddress(bad), bad);
+            assertNull(Addresses.parse(bad), bad);
         }
     }
 }
--- a/src/test/java/pondridge/sidecar/DeployedIT.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/DeployedIT.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package topazvalve.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -159,7 +159,7 @@
                 return false;
             }
         })) {
-            process = new ProcessBuilder("perl", "src/test/resources/holder.pl").start();
+            process = new ProcessBuilder("perl", "sidecar/src/test/resources/holder.pl").start();
             int port = Integer.parseInt(process.inputReader().readLine());
             InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
             InetSocketAddress oldDoor = freeAddress();
--- a/src/test/java/pondridge/sidecar/DiscoveryTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/DiscoveryTest.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package topazvalve.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,8 +12,10 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import pondridge.Balancer.ListKind;
-import pondridge.Balancer.State;
+import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.decisions.Balancer.State;
+import topazvalve.sidecar.discovery.Discovery;
+import topazvalve.sidecar.discovery.Target;
 
 /** The list and its watch against a discovery that answers in awkward ways. */
 class DiscoveryTest {
@@ -21,7 +23,7 @@
     private static final String HALF_1 = "{\"rev\":43,\"all\":false,\"targets\":[" + entry("DRAINING") + ",";
     private static final String HALF_2 = "{\"uid\":\"odd\",\"state\":\"???\"}]}\n";
 
-    private record Told(ListKind kind, List<Discovery.Target> targets) { }
+    private record Told(ListKind kind, List<Target> targets) { }
 
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -60,7 +62,7 @@
             Told delta = Stub.next(told);
             assertEquals(ListKind.DELTA, delta.kind);
             assertEquals(List.of(State.DRAINING),
-                    delta.targets.stream().map(Discovery.Target::state).toList());
+                    delta.targets.stream().map(Target::state).toList());
             assertEquals(new Told(ListKind.FULL, List.of()), Stub.next(told));
             assertEquals(new Told(ListKind.FAILED, List.of()), Stub.next(told));
             loop.execute(() -> discovery.watch(true));
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/SidecarTest.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package topazvalve.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -19,9 +19,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
-import pondridge.sidecar.classes.ClassTable;
-import pondridge.sidecar.stream.RequestBody;
-import pondridge.sidecar.stream.Source;
+import topazvalve.sidecar.classes.ClassTable;
+import topazvalve.sidecar.config.Config;
+import topazvalve.sidecar.engine.Client;
+import topazvalve.sidecar.engine.Job;
+import topazvalve.sidecar.http.Answer;
+import topazvalve.sidecar.http.Message;
+import topazvalve.sidecar.stream.RequestBody;
+import topazvalve.sidecar.stream.Source;
 
 /** The whole sidecar between a client and upstreams on loopback. */
 class SidecarTest {
@@ -459,16 +464,16 @@
     private static WeakReference<RequestBody> answered(Bed bed) throws Exception {
         RequestBody body = RequestBody.of(new byte[1000]);
         CountDownLatch done = new CountDownLatch(1);
-        Engine.Job job = new Engine.Job(new ClassTable.Entry(2, "book", null), 0, 0, 600_000, 0, false,
+        Job job = new Job(new ClassTable.Entry(2, "book", null), 0, 0, 600_000, 0, false,
                 true, new Message(HttpMethod.POST, "/api/x", new DefaultHttpHeaders()), body);
-        bed.loop.execute(() -> bed.engine.submit(job, new Engine.Client() {
+        bed.loop.execute(() -> bed.engine.submit(job, new Client() {
             @Override
-            public void served(Engine.Answer answer) {
+            public void served(Answer answer) {
                 done.countDown();
             }
 
             @Override
-            public void begun(Engine.Answer first, long length, Source rest) { }
+            public void begun(Answer first, long length, Source rest) { }
 
             @Override
             public void more(ByteBuf bytes) { }
--- a/src/test/java/pondridge/sidecar/Stub.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/Stub.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package topazvalve.sidecar;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
--- a/src/test/java/pondridge/sidecar/UpstreamsTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/UpstreamsTest.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package topazvalve.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -22,9 +22,14 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import pondridge.Balancer.Outcome;
-import pondridge.Options;
-import pondridge.sidecar.stream.RequestBody;
+import topazvalve.decisions.Balancer.Outcome;
+import topazvalve.decisions.Options;
+import topazvalve.sidecar.http.Answer;
+import topazvalve.sidecar.http.Message;
+import topazvalve.sidecar.stream.RequestBody;
+import topazvalve.sidecar.upstream.Attempt;
+import topazvalve.sidecar.upstream.AttemptListener;
+import topazvalve.sidecar.upstream.Upstreams;
 
 /** Attempts and probes on real connections, and what they end as. */
 class UpstreamsTest {
@@ -54,12 +59,12 @@
         loop.execute(() -> send(upstreams, 1, get("/api/x"), this::ended));
     }
 
-    private static Upstreams.Attempt send(Upstreams upstreams, long to, Message message,
-            Upstreams.Listener listener) {
+    private static Attempt send(Upstreams upstreams, long to, Message message,
+            AttemptListener listener) {
         return upstreams.send(to, message, RequestBody.of(new byte[0]), LONG, listener);
     }
 
-    private void ended(Outcome outcome, Engine.Answer answer, float[] load) {
+    private void ended(Outcome outcome, Answer answer, float[] load) {
         reports.add(load);
         outcomes.add(outcome);
     }
@@ -282,7 +287,7 @@
         return new Message(HttpMethod.GET, path, new DefaultHttpHeaders());
     }
 
-    private static String text(Engine.Answer answer) {
+    private static String text(Answer answer) {
         return answer == null ? "none" : new String(answer.body(), StandardCharsets.ISO_8859_1);
     }
 }
--- a/src/test/java/pondridge/sidecar/classes/ClassTableTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/classes/ClassTableTest.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar.classes;
+package topazvalve.sidecar.classes;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -6,9 +6,9 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pondridge.Balancer.RequestClass;
-import pondridge.Balancer.Scope;
-import pondridge.Balancer.Semantics;
+import topazvalve.decisions.Balancer.RequestClass;
+import topazvalve.decisions.Balancer.Scope;
+import topazvalve.decisions.Balancer.Semantics;
 
 /** What a class's number means, over several configurations. */
 class ClassTableTest {
--- a/src/test/java/pondridge/sidecar/lifecycle/LifecycleTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/lifecycle/LifecycleTest.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar.lifecycle;
+package topazvalve.sidecar.lifecycle;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/pondridge/sidecar/stream/RequestBodyTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/stream/RequestBodyTest.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar.stream;
+package topazvalve.sidecar.stream;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/src/main/java/pondridge/adapter/Cursor.java
+++ b/simhost/src/main/java/topazvalve/simhost/Cursor.java
@@ -1,4 +1,4 @@
-package pondridge.adapter;
+package topazvalve.simhost;
 
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
--- a/src/main/java/pondridge/adapter/Host.java
+++ b/simhost/src/main/java/topazvalve/simhost/Host.java
@@ -1,17 +1,17 @@
-package pondridge.adapter;
+package topazvalve.simhost;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import pondridge.Balancer;
-import pondridge.Balancer.ListKind;
-import pondridge.Balancer.Outcome;
-import pondridge.Balancer.Request;
-import pondridge.Balancer.State;
-import pondridge.Balancer.Upstream;
-import pondridge.Options;
-import pondridge.Rules;
+import topazvalve.decisions.Balancer;
+import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.decisions.Balancer.Outcome;
+import topazvalve.decisions.Balancer.Request;
+import topazvalve.decisions.Balancer.State;
+import topazvalve.decisions.Balancer.Upstream;
+import topazvalve.decisions.Options;
+import topazvalve.decisions.Rules;
 
 /**
  * Hands the events of a batch to the instances they name. It decides nothing and shares nothing between
--- a/src/main/java/pondridge/adapter/Main.java
+++ b/simhost/src/main/java/topazvalve/simhost/Main.java
@@ -1,4 +1,4 @@
-package pondridge.adapter;
+package topazvalve.simhost;
 
 import java.io.BufferedInputStream;
 import java.io.FileDescriptor;
@@ -9,24 +9,28 @@
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
+import org.slf4j.Logger;
+import topazvalve.logging.Logging;
 
-/** Entry point: {@code java -jar pondridge.jar adapter} plays the wire on standard input and output. */
+/** Entry point: {@code java -jar topazvalve-simhost.jar adapter} plays the wire on standard streams. */
 public final class Main {
     private static final int HEADER = 16;
 
+    private static final Logger LOG = Logging.of("topazvalve");
+
     private Main() { }
 
     /** Runs the adapter until input ends; a malformed frame ends it with a message and exit status 1. */
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar pondridge.jar adapter");
+            System.err.println("usage: java -jar topazvalve-simhost.jar adapter");
             System.exit(2);
         }
         try {
             run(new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
                     new FileOutputStream(FileDescriptor.out));
         } catch (WireException | IllegalArgumentException | IOException e) {
-            System.err.println("pondridge: " + e.getMessage());
+            LOG.error("{}", e.getMessage());
             System.exit(1);
         }
     }
--- a/src/main/java/pondridge/adapter/Replies.java
+++ b/simhost/src/main/java/topazvalve/simhost/Replies.java
@@ -1,4 +1,4 @@
-package pondridge.adapter;
+package topazvalve.simhost;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -6,7 +6,7 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import pondridge.Balancer.Actions;
+import topazvalve.decisions.Balancer.Actions;
 
 /** Collects the actions of one batch as a reply frame; written whole or not at all. */
 final class Replies {
--- a/src/main/java/pondridge/adapter/WireException.java
+++ b/simhost/src/main/java/topazvalve/simhost/WireException.java
@@ -1,4 +1,4 @@
-package pondridge.adapter;
+package topazvalve.simhost;
 
 /** Input that breaks the wire's format; the message says what and where. */
 final class WireException extends RuntimeException {
--- a/src/test/java/pondridge/adapter/PackagedJarIT.java
+++ b/simhost/src/test/java/topazvalve/simhost/PackagedJarIT.java
@@ -1,4 +1,4 @@
-package pondridge.adapter;
+package topazvalve.simhost;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -21,7 +21,7 @@
     private static Result run(byte[] input, String... args) throws IOException, InterruptedException {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-jar", "target/pondridge.jar"));
+                "-jar", "simhost/target/topazvalve-simhost.jar"));
         command.addAll(List.of(args));
         Process process = new ProcessBuilder(command).start();
         try (OutputStream in = process.getOutputStream()) {
--- a/src/test/java/pondridge/adapter/WireTest.java
+++ b/simhost/src/test/java/topazvalve/simhost/WireTest.java
@@ -1,4 +1,4 @@
-package pondridge.adapter;
+package topazvalve.simhost;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -12,10 +12,10 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
-import pondridge.Balancer.Actions;
-import pondridge.Balancer.Semantics;
-import pondridge.Balancer.Settings;
-import pondridge.Options;
+import topazvalve.decisions.Balancer.Actions;
+import topazvalve.decisions.Balancer.Semantics;
+import topazvalve.decisions.Balancer.Settings;
+import topazvalve.decisions.Options;
 
 class WireTest {
     static final String OPTIONS = String.join("\n",
--- a/src/main/java/pondridge/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Decisions of a client-side load balancer: {@link pondridge.Balancer} is the interface. */
-package pondridge;
