--- a/command/src/main/java/topazvalve/command/Check.java
+++ b/command/src/main/java/topazvalve/command/Check.java
@@ -1,7 +1,6 @@
 package topazvalve.command;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -11,7 +10,8 @@
 import topazvalve.sidecar.config.Config;
 
 /** Reads a file as the program that takes it would, and starts nothing. */
-@Command(name = "check", description = "Checks a sidecar's configuration (.json) and starts nothing.")
+@Command(name = "check", description = {
+    "Checks a sidecar's configuration (.json) or a scenario (.toml), and starts nothing."})
 final class Check implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -20,9 +20,11 @@
 
     @Override
     public Integer call() throws IOException {
-        if (!Files.isReadable(file)) {
-            throw new BadInput(file + ": no such file, or it can't be read", null);
+        if (file.toString().endsWith(".toml")) {
+            spec.commandLine().getOut().println(file + ": good; scenario " + Input.scenario(file).name());
+            return ExitCode.DONE;
         }
+        Input.requireFile(file);
         try {
             Config config = Config.read(file);
             spec.commandLine().getOut().println(file + ": good; classes "
--- /dev/null
+++ b/world/src/main/java/topazvalve/world/model/package-info.java
@@ -0,0 +1,2 @@
+/** Order servers, pods, randomness: the model itself, on whatever clock. */
+package topazvalve.world.model;
--- /dev/null
+++ b/world/src/main/java/topazvalve/world/oracle/Breach.java
@@ -0,0 +1,9 @@
+package topazvalve.world.oracle;
+
+/** A rule that was broken: when, and by what. */
+public record Breach(Rule rule, long at, String what) {
+    @Override
+    public String toString() {
+        return rule + " at " + at / 1_000_000 + " ms: " + what;
+    }
+}
--- /dev/null
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualAttempt.java
@@ -0,0 +1,60 @@
+package topazvalve.world.virtual;
+
+import topazvalve.decisions.Balancer.Outcome;
+import topazvalve.world.model.Job;
+
+/** One attempt on its way to a server, there, and back. */
+final class VirtualAttempt extends Job {
+    final VirtualInstance instance;
+    final VirtualCall call;
+    final int number;
+    final Peer peer;
+    final long sentAt;
+    Peer.Connection connection;
+    /** Whether its last byte has been written. */
+    boolean written;
+    boolean received;
+    boolean turnedAway;
+    boolean ran;
+    boolean ended;
+
+    VirtualAttempt(VirtualInstance instance, VirtualCall call, int number, Peer peer, double work, long sentAt) {
+        super(work, call.requestClass, call.key, call.deadline);
+        this.instance = instance;
+        this.call = call;
+        this.number = number;
+        this.peer = peer;
+        this.sentAt = sentAt;
+    }
+
+    @Override
+    protected void began() {
+        ran = true;
+    }
+
+    @Override
+    protected void served(boolean good, boolean spoilt) {
+        if (good && !spoilt) {
+            instance.servedAtServer(call);
+        }
+        instance.comesBack(this, good && !spoilt ? Outcome.OK : Outcome.ERROR);
+    }
+
+    @Override
+    protected void declined() {
+        turnedAway = true;
+        instance.comesBack(this, Outcome.REJECTED);
+    }
+
+    @Override
+    protected void broken() {
+        instance.comesBack(this, Outcome.RESET);
+    }
+
+    @Override
+    protected void dropped() {
+        if (!ran) {
+            instance.neverRan(call);
+        }
+    }
+}
--- /dev/null
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualClients.java
@@ -0,0 +1,134 @@
+package topazvalve.world.virtual;
+
+import java.util.ArrayList;
+import java.util.List;
+import topazvalve.world.model.Asker;
+import topazvalve.world.model.Rhythm;
+import topazvalve.world.oracle.Oracle.Answer;
+import topazvalve.world.oracle.Trace;
+import topazvalve.world.scenario.Scenario;
+import topazvalve.world.scenario.WorkClass;
+import topazvalve.world.scenario.WorkClass.Repeats;
+import topazvalve.world.scenario.WorkClass.Scope;
+
+/** All clients: they ask whatever became of earlier requests, wait, give up, and some try once more. */
+final class VirtualClients {
+    /** What the real host keeps of a client's wait for the answer's way back. */
+    private static final long ANSWER_ROOM = 10_000_000;
+
+    private final VirtualWorld world;
+    private final Scenario scenario;
+    private final List<DelayLine<VirtualCall>> expiries = new ArrayList<>();
+    private final List<DelayLine<VirtualCall>> deadlines = new ArrayList<>();
+    private final List<Asker> askers = new ArrayList<>();
+    private long lastId;
+
+    VirtualClients(VirtualWorld world, long seed, Rhythm rhythm) {
+        this.world = world;
+        this.scenario = world.scenario();
+        scenario.classes().forEach(kind -> {
+            long room = Math.max(1, kind.deadline() - ANSWER_ROOM);
+            expiries.add(new DelayLine<>(world.clock(), room, call -> call.over && call.out == 0,
+                    call -> world.instances().get(call.instance).expire(call)));
+            deadlines.add(new DelayLine<>(world.clock(), kind.deadline() + scenario.limits().answerSlack() + 1,
+                    call -> call.over, this::deadline));
+        });
+        for (int i = 0; i < scenario.fleet().instances(); i++) {
+            askers.add(new Asker(scenario, seed, i, rhythm));
+        }
+    }
+
+    void start() {
+        for (int i = 0; i < askers.size(); i++) {
+            next(i);
+        }
+    }
+
+    private void next(int number) {
+        Asker asker = askers.get(number);
+        long at = world.clock().now() + Math.max(1, asker.gap());
+        if (at < world.end()) {
+            world.clock().at(at, () -> {
+                if (asker.comes(world.elapsed())) {
+                    ask(number, asker.wish());
+                }
+                next(number);
+            });
+        }
+    }
+
+    private void ask(int number, Asker.Wish wish) {
+        world.tally().asked(wish.requestClass(), world.elapsed());
+        submit(number, wish, world.clock().now(), false);
+    }
+
+    private void submit(int number, Asker.Wish wish, long firstAt, boolean retry) {
+        VirtualInstance instance = world.instances().get(number);
+        long now = world.clock().now();
+        if (!instance.running()) {
+            // Nothing listens: the client sees at once that nothing has run.
+            ended(number, wish, Answer.REFUSED, 0, firstAt, retry);
+            return;
+        }
+        long id = ++lastId;
+        long deadline = now + wish.patience();
+        Trace trace = new Trace(id, number, scenario.classes().get(wish.requestClass()),
+                world.sinceStart(now), world.sinceStart(deadline));
+        VirtualCall call = new VirtualCall(id, number, trace, wish.requestClass(), wish.key(), wish.work(), deadline,
+                retry, firstAt, world.attemptLimit() + 1,
+                (ended, answer, wait) -> answered(ended, answer, wait, wish));
+        world.oracle().sent(trace);
+        if (wish.leavesEarly()) {
+            world.clock().at(deadline, () -> leave(call));
+        } else {
+            expiries.get(wish.requestClass()).add(call);
+            deadlines.get(wish.requestClass()).add(call);
+        }
+        instance.request(call);
+    }
+
+    /** The client's time is over and it has no answer. */
+    private void deadline(VirtualCall call) {
+        world.oracle().expired(call.trace, world.elapsed());
+        world.tally().unanswered(call.requestClass, world.sinceStart(call.firstAt));
+        world.instances().get(call.instance).hangup(call);
+    }
+
+    private void leave(VirtualCall call) {
+        if (!call.over) {
+            world.oracle().excused(call.trace);
+            world.tally().unanswered(call.requestClass, world.sinceStart(call.firstAt));
+            world.instances().get(call.instance).hangup(call);
+        }
+    }
+
+    private void answered(VirtualCall call, Answer answer, long wait, Asker.Wish wish) {
+        world.oracle().answered(call.trace, answer, world.elapsed());
+        world.digest(call.id, answer);
+        if (answer == Answer.SERVED) {
+            long took = world.clock().now() + 2 * scenario.network().client() - call.firstAt;
+            world.tally().served(call.requestClass, world.sinceStart(call.firstAt), took);
+        } else {
+            ended(call.instance, wish, answer, wait, call.firstAt, call.retry);
+        }
+    }
+
+    private void ended(int number, Asker.Wish wish, Answer answer, long wait, long firstAt, boolean retry) {
+        WorkClass kind = scenario.classes().get(wish.requestClass());
+        boolean harmless = answer == Answer.REFUSED || kind.repeats() == Repeats.FREE
+                || kind.repeats() == Repeats.KEYED && kind.scope() == Scope.ALL;
+        if (wish.retries() && !retry && harmless) {
+            long pause = wish.heeds() && wait > 0
+                    ? Math.max(scenario.clients().backoff(), Math.min(wait, scenario.clients().maxRetryAfter()))
+                    : scenario.clients().backoff();
+            world.clock().at(world.clock().now() + pause, () -> {
+                world.tally().retry();
+                submit(number, wish, firstAt, true);
+            });
+        } else if (answer == Answer.REFUSED) {
+            world.tally().refused(wish.requestClass(), world.sinceStart(firstAt));
+        } else {
+            world.tally().failed(wish.requestClass(), world.sinceStart(firstAt));
+        }
+    }
+}
--- /dev/null
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualDiscovery.java
@@ -0,0 +1,146 @@
+package topazvalve.world.virtual;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.decisions.Balancer.State;
+import topazvalve.decisions.Balancer.Upstream;
+import topazvalve.world.model.Chance;
+import topazvalve.world.model.Clock;
+import topazvalve.world.model.Directory;
+import topazvalve.world.model.Directory.Entry;
+import topazvalve.world.oracle.Oracle;
+import topazvalve.world.scenario.Scenario.News;
+
+/** Discovery as instances meet it: one service for all, calls in turn, watches on changes. */
+final class VirtualDiscovery {
+    /** How often a service that is down is looked at by those who watch. */
+    private static final long LOOK = 100_000_000;
+
+    private static final class Watch {
+        private long toldUntil;
+        private long lastAt;
+    }
+
+    private final Clock clock;
+    private final News news;
+    private final Directory directory;
+    private final Oracle oracle;
+    private final Chance chance;
+    private final Map<Integer, Watch> watches = new HashMap<>();
+    private final List<VirtualInstance> instances;
+    private long busyUntil;
+
+    VirtualDiscovery(Clock clock, News news, Directory directory, Oracle oracle, Chance chance,
+            List<VirtualInstance> instances) {
+        this.clock = clock;
+        this.news = news;
+        this.directory = directory;
+        this.oracle = oracle;
+        this.chance = chance;
+        this.instances = instances;
+        directory.follow(entry -> watches.forEach((number, watch) -> change(number, watch, entry)));
+        lookWhetherDown();
+    }
+
+    private void lookWhetherDown() {
+        if (directory.down() && news.subscribe() && !watches.isEmpty()) {
+            List<Integer> cut = new ArrayList<>(watches.keySet());
+            watches.clear();
+            cut.forEach(number -> instances.get(number).listed(ListKind.FAILED, List.of()));
+        }
+        clock.at(clock.now() + LOOK, this::lookWhetherDown);
+    }
+
+    /** Follows from the start, without a call; where instances need not ask. */
+    void follow(VirtualInstance instance) {
+        Watch watch = new Watch();
+        watch.toldUntil = directory.revision();
+        watches.put(instance.number(), watch);
+    }
+
+    /** A sidecar has ended: nobody listens. */
+    void forget(int instance) {
+        watches.remove(instance);
+    }
+
+    void subscribe(VirtualInstance instance, boolean on) {
+        if (!on) {
+            watches.remove(instance.number());
+            call(instance, false, false);
+        } else {
+            call(instance, true, true);
+        }
+    }
+
+    void fetch(VirtualInstance instance) {
+        call(instance, true, false);
+    }
+
+    private void call(VirtualInstance instance, boolean lists, boolean watching) {
+        long now = clock.now();
+        int life = instance.life();
+        long begins = Math.max(now, busyUntil);
+        boolean fails = directory.down() || begins - now > news.patience();
+        long answered = fails ? now + news.patience() : begins + news.callTime();
+        if (!fails) {
+            busyUntil = answered;
+        }
+        clock.at(answered, () -> {
+            if (instance.life() != life) {
+                return;
+            }
+            if (fails || directory.down()) {
+                instance.listed(ListKind.FAILED, List.of());
+            } else {
+                answer(instance, lists, watching);
+            }
+        });
+    }
+
+    private void answer(VirtualInstance instance, boolean lists, boolean watching) {
+        List<Entry> changes = watching ? directory.since(instance.revision()) : null;
+        if (watching) {
+            Watch watch = new Watch();
+            watch.toldUntil = directory.revision();
+            watches.put(instance.number(), watch);
+        }
+        ListKind kind = changes == null && lists ? ListKind.FULL : ListKind.DELTA;
+        tell(instance, kind, changes != null ? changes : lists ? directory.all() : List.of());
+    }
+
+    private void change(int number, Watch watch, Entry entry) {
+        VirtualInstance instance = instances.get(number);
+        int life = instance.life();
+        long at = Math.max(watch.lastAt, clock.now() + (long) (chance.part() * news.spread()));
+        watch.lastAt = at;
+        clock.at(at, () -> {
+            if (watches.get(number) == watch && instance.life() == life
+                    && entry.changedAtRevision() > watch.toldUntil) {
+                watch.toldUntil = entry.changedAtRevision();
+                tell(instance, ListKind.DELTA, List.of(entry));
+            }
+        });
+    }
+
+    private void tell(VirtualInstance instance, ListKind kind, List<Entry> entries) {
+        List<Upstream> lines = new ArrayList<>(entries.size());
+        for (Entry each : entries) {
+            lines.add(line(each));
+            if (each.state() == State.READY) {
+                oracle.readyTold(instance.number(), each.server().id());
+            } else {
+                oracle.drainTold(instance.number(), each.server().id(), instance.world.elapsed());
+            }
+        }
+        instance.heard(entries, directory.revision());
+        instance.listed(kind, lines);
+    }
+
+    static Upstream line(Entry entry) {
+        return new Upstream(entry.server().id(), entry.server().pod().zone(), entry.server().kindNumber(),
+                entry.server().pod().number(), entry.state(), 1, entry.startedAt());
+    }
+}
--- /dev/null
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualWorld.java
@@ -0,0 +1,261 @@
+package topazvalve.world.virtual;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.IntFunction;
+import java.util.zip.CRC32C;
+import topazvalve.world.model.Chance;
+import topazvalve.world.model.Clock;
+import topazvalve.world.model.Directory;
+import topazvalve.world.model.FaultPlayer;
+import topazvalve.world.model.Fleet;
+import topazvalve.world.model.Link;
+import topazvalve.world.model.OrderServer;
+import topazvalve.world.model.Rhythm;
+import topazvalve.world.model.Stage;
+import topazvalve.world.oracle.Oracle;
+import topazvalve.world.oracle.Oracle.Answer;
+import topazvalve.world.scenario.Fault;
+import topazvalve.world.scenario.Scenario;
+import topazvalve.world.tally.Tally;
+
+/** One scenario, one arm, one seed, in virtual time: the same three give the same run to the last event. */
+public final class VirtualWorld implements Stage {
+    /** A start far from 0, since a server that started at 0 counts as started long ago. */
+    private static final long START = 1_000_000_000_000L;
+    private static final int NOTES = 500;
+    private static final double IDLE_SHARE = 0.9;
+
+    private final Scenario scenario;
+    private final Arm arm;
+    private final long seed;
+    private final VirtualClock clock = new VirtualClock(START);
+    private final Oracle oracle;
+    private final Tally tally;
+    private final Fleet fleet;
+    private final Directory directory;
+    private final VirtualDiscovery discovery;
+    private final Link link;
+    private final Rhythm rhythm;
+    private final Chance noise;
+    private final Chance restarts;
+    private final List<VirtualInstance> instances = new ArrayList<>();
+    private final VirtualClients clients;
+    private final DelayLine<Peer.Connection> idleConnections;
+    private final long keepIdle;
+    private final CRC32C digest = new CRC32C();
+    private final ByteBuffer digested = ByteBuffer.allocate(24);
+    private final List<String> notes = new ArrayList<>();
+    private long[] attemptsByServer;
+
+    /** Sets the scene. */
+    public VirtualWorld(Scenario scenario, Arm arm, long seed) {
+        this(scenario, arm, seed, null);
+    }
+
+    /** For the oracle's tests: with sidecars of another make. */
+    VirtualWorld(Scenario scenario, Arm arm, long seed, Make others) {
+        this.scenario = scenario;
+        this.arm = arm;
+        this.seed = seed;
+        this.oracle = new Oracle(scenario.limits(), 0, flight(scenario));
+        this.tally = new Tally(scenario);
+        this.fleet = new Fleet(scenario, clock, seed);
+        this.attemptsByServer = new long[fleet.servers().size() + 1];
+        this.directory = new Directory(clock, scenario.news(), Chance.stream(seed, "directory"));
+        this.link = new Link(scenario.network(), Chance.stream(seed, "link"));
+        this.rhythm = new Rhythm(scenario.load(), Chance.stream(seed, "rhythm"));
+        this.noise = Chance.stream(seed, "noise");
+        this.restarts = Chance.stream(seed, "restarts");
+        fleet.servers().forEach(this::introduce);
+        fleet.servers().forEach(directory::list);
+        this.discovery = new VirtualDiscovery(clock, scenario.news(), directory, oracle,
+                Chance.stream(seed, "discovery"), instances);
+        this.keepIdle = (long) (scenario.machines().stream().mapToLong(each -> each.idleClose()).min()
+                .orElseThrow() * IDLE_SHARE);
+        this.idleConnections = new DelayLine<>(clock, keepIdle, connection -> !connection.idle, this::stale);
+        IntFunction<VirtualInstance> make = others == null
+                ? number -> new VirtualInstance(this, number, zone(number)) : number -> others.make(this, number);
+        for (int i = 0; i < scenario.fleet().instances(); i++) {
+            instances.add(make.apply(i));
+        }
+        this.clients = new VirtualClients(this, seed, rhythm);
+    }
+
+    /** Makes a sidecar for a test. */
+    interface Make {
+        VirtualInstance make(VirtualWorld world, int number);
+    }
+
+    /** How long an attempt may be under way: a handshake, the way there, and what chance adds. */
+    private static long flight(Scenario scenario) {
+        long way = Math.max(scenario.network().sameZone(), scenario.network().crossZone());
+        double spread = 1 + 20 * scenario.network().jitter();
+        long extra = 0;
+        for (Fault each : scenario.faults()) {
+            extra = Math.max(extra, each.kind() == Fault.Kind.LOSS ? 2_000_000_000L : 0);
+            extra = Math.max(extra, each.kind() == Fault.Kind.DELAY ? 3 * each.by() : 0);
+        }
+        boolean drawn = scenario.chaos().count() > 0 && scenario.chaos().kinds().contains(Fault.Kind.LOSS);
+        return (long) (3 * way * spread) + 1_000_000 + (drawn ? 2_000_000_000L : extra);
+    }
+
+    int zone(int number) {
+        return number % scenario.fleet().zones().size();
+    }
+
+    private void introduce(OrderServer server) {
+        server.onFallen((fallen, informed) -> {
+            oracle.fell(fallen.id(), informed, elapsed());
+            note("server " + fallen.id() + " was pushed over while cold");
+        });
+    }
+
+    /** Plays the whole run. */
+    public Run play() {
+        long began = System.nanoTime();
+        List<Fault> faults = FaultPlayer.play(this, scenario, seed);
+        instances.forEach(this::begin);
+        clients.start();
+        long rest = scenario.classes().stream().mapToLong(each -> each.deadline()).max().orElseThrow();
+        clock.runUntil(end() + 2 * rest + scenario.clients().maxRetryAfter() + scenario.limits().answerSlack());
+        return new Run(scenario.name(), arm.name(), seed, tally, oracle.counts(), oracle.breaches(),
+                faults, List.copyOf(notes), digest.getValue(), oracle.requests(), clock.fired(),
+                System.nanoTime() - began, attemptsByServer);
+    }
+
+    private void begin(VirtualInstance instance) {
+        if (!scenario.news().subscribe()) {
+            discovery.follow(instance);
+        }
+        instance.start(arm.policy().make(arm.settings(scenario, instance.number(), zone(instance.number())),
+                restarts.any(), instance), directory.all(), directory.revision());
+    }
+
+    // What parts of the world ask of it.
+
+    @Override
+    public Clock clock() {
+        return clock;
+    }
+
+    @Override
+    public List<OrderServer> servers() {
+        return fleet.servers();
+    }
+
+    @Override
+    public int instanceCount() {
+        return instances.size();
+    }
+
+    @Override
+    public Directory directory() {
+        return directory;
+    }
+
+    @Override
+    public Link link() {
+        return link;
+    }
+
+    @Override
+    public void overload(double times) {
+        rhythm.overload(times);
+    }
+
+    @Override
+    public void restartInstance(int number) {
+        VirtualInstance instance = instances.get(number);
+        instance.kill();
+        discovery.forget(number);
+        fleet.servers().forEach(each -> oracle.readyTold(number, each.id()));
+        begin(instance);
+    }
+
+    @Override
+    public OrderServer replace(OrderServer old) {
+        OrderServer fresh = fleet.replace(old);
+        introduce(fresh);
+        return fresh;
+    }
+
+    @Override
+    public void note(String what) {
+        if (notes.size() < NOTES) {
+            notes.add(elapsed() / 1_000_000 + " ms: " + what);
+        }
+    }
+
+    Scenario scenario() {
+        return scenario;
+    }
+
+    Oracle oracle() {
+        return oracle;
+    }
+
+    Tally tally() {
+        return tally;
+    }
+
+    VirtualDiscovery discovery() {
+        return discovery;
+    }
+
+    List<VirtualInstance> instances() {
+        return instances;
+    }
+
+    int attemptLimit() {
+        return arm.attempts(scenario);
+    }
+
+    long end() {
+        return START + scenario.length();
+    }
+
+    long elapsed() {
+        return clock.now() - START;
+    }
+
+    long sinceStart(long time) {
+        return time - START;
+    }
+
+    double attemptWork(VirtualCall call) {
+        double variation = scenario.classes().get(call.requestClass).noise();
+        return variation == 0 ? call.work : call.work * noise.lognormal(variation);
+    }
+
+    void idle(Peer.Connection connection) {
+        idleConnections.add(connection);
+    }
+
+    private void stale(Peer.Connection connection) {
+        if (clock.now() - connection.idleSince >= keepIdle) {
+            connection.peer.idle.remove(connection);
+            connection.close();
+        }
+    }
+
+    void received(VirtualAttempt attempt) {
+        OrderServer server = attempt.peer.server;
+        int id = (int) server.id();
+        if (id >= attemptsByServer.length) {
+            attemptsByServer = Arrays.copyOf(attemptsByServer, id + 16);
+        }
+        attemptsByServer[id]++;
+        tally.attempt(elapsed());
+        oracle.received(attempt.call.trace, server.id(), server.pod().zone(), server.pod().number(),
+                !attempt.turnedAway, elapsed());
+    }
+
+    void digest(long request, Answer answer) {
+        digested.clear();
+        digested.putLong(request).putLong(clock.now()).putLong(answer.ordinal());
+        digest.update(digested.flip());
+    }
+}
