--- a/command/src/main/java/topazvalve/command/Main.java
+++ b/command/src/main/java/topazvalve/command/Main.java
@@ -9,7 +9,7 @@
 @Command(name = "topazvalve", mixinStandardHelpOptions = true, versionProvider = Version.class,
         synopsisSubcommandLabel = "VERB", scope = CommandLine.ScopeType.INHERIT,
         description = "A load-balancing sidecar, and a world to try it in.",
-        subcommands = {Serve.class, Check.class, World.class, Version.class},
+        subcommands = {Serve.class, Check.class, World.class, Experiments.class, Version.class},
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done, and nothing was found wrong",
             "1:a rule was broken, or the run could not be finished",
--- a/world/src/main/java/topazvalve/world/virtual/Peer.java
+++ b/world/src/main/java/topazvalve/world/virtual/Peer.java
@@ -11,7 +11,8 @@
         final int life;
         boolean idle;
         boolean closed;
-        long idleSince;
+        /** Its place in the line of those that go stale. */
+        long staleness;
 
         Connection(Peer peer, int life) {
             this.peer = peer;
--- a/world/src/main/java/topazvalve/world/virtual/VirtualCall.java
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualCall.java
@@ -26,6 +26,8 @@
     int out;
     boolean over;
     boolean gone;
+    /** Its place in the line of those whose time will be over; -1 for none. */
+    long expiry = -1;
 
     VirtualCall(long id, int instance, Trace trace, int requestClass, long key, double work, long deadline,
             boolean retry, long firstAt, int mostAttempts, Client client) {
--- a/world/src/main/java/topazvalve/world/virtual/VirtualClients.java
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualClients.java
@@ -19,7 +19,6 @@
     private final VirtualWorld world;
     private final Scenario scenario;
     private final List<DelayLine<VirtualCall>> expiries = new ArrayList<>();
-    private final List<DelayLine<VirtualCall>> deadlines = new ArrayList<>();
     private final List<Asker> askers = new ArrayList<>();
     private long lastId;
 
@@ -28,10 +27,7 @@
         this.scenario = world.scenario();
         scenario.classes().forEach(kind -> {
             long room = Math.max(1, kind.deadline() - ANSWER_ROOM);
-            expiries.add(new DelayLine<>(world.clock(), room, call -> call.over && call.out == 0,
-                    call -> world.instances().get(call.instance).expire(call)));
-            deadlines.add(new DelayLine<>(world.clock(), kind.deadline() + scenario.limits().answerSlack() + 1,
-                    call -> call.over, this::deadline));
+            expiries.add(new DelayLine<>(world.clock(), room, this::expire));
         });
         for (int i = 0; i < scenario.fleet().instances(); i++) {
             askers.add(new Asker(scenario, seed, i, rhythm));
@@ -81,14 +77,31 @@
         if (wish.leavesEarly()) {
             world.clock().at(deadline, () -> leave(call));
         } else {
-            expiries.get(wish.requestClass()).add(call);
-            deadlines.get(wish.requestClass()).add(call);
+            call.expiry = expiries.get(wish.requestClass()).add(call);
         }
         instance.request(call);
     }
 
+    /** A call that is answered, and none of whose attempts is out, needs no look at its end. */
+    void forgotten(VirtualCall call) {
+        if (call.expiry >= 0) {
+            expiries.get(call.requestClass).remove(call.expiry);
+        }
+    }
+
+    private void expire(VirtualCall call) {
+        call.expiry = -1;
+        world.instances().get(call.instance).expire(call);
+        if (!call.over) {
+            world.clock().at(call.deadline + scenario.limits().answerSlack() + 1, () -> deadline(call));
+        }
+    }
+
     /** The client's time is over and it has no answer. */
     private void deadline(VirtualCall call) {
+        if (call.over) {
+            return;
+        }
         world.oracle().expired(call.trace, world.elapsed());
         world.tally().unanswered(call.requestClass, world.sinceStart(call.firstAt));
         world.instances().get(call.instance).hangup(call);
--- a/world/src/main/java/topazvalve/world/virtual/VirtualInstance.java
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualInstance.java
@@ -1,6 +1,7 @@
 package topazvalve.world.virtual;
 
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,7 +30,8 @@
     private final int number;
     private final int zone;
     private Balancer balancer;
-    private final Map<Long, Peer> peers = new HashMap<>();
+    /** By the server's id, which is small and given out in turn. */
+    private Peer[] peers = new Peer[16];
     private final Map<Long, VirtualCall> calls = new HashMap<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private boolean telling;
@@ -85,8 +87,12 @@
         }
         calls.clear();
         events.clear();
-        peers.values().forEach(Peer::closeIdle);
-        peers.clear();
+        for (Peer each : peers) {
+            if (each != null) {
+                each.closeIdle();
+            }
+        }
+        Arrays.fill(peers, null);
     }
 
     private long now() {
@@ -116,8 +122,7 @@
         revision = Math.max(revision, listRevision);
         for (Entry each : entries) {
             OrderServer server = each.server();
-            Peer peer = peers.computeIfAbsent(server.id(), id ->
-                    new Peer(server, server.pod().zone() != zone));
+            Peer peer = meet(server);
             if (each.startedAt() > peer.toldStart) {
                 peer.toldStart = each.startedAt();
                 peer.closeIdle();
@@ -128,6 +133,21 @@
         }
     }
 
+    private Peer meet(OrderServer server) {
+        int id = (int) server.id();
+        if (id >= peers.length) {
+            peers = Arrays.copyOf(peers, Math.max(id + 1, peers.length * 2));
+        }
+        if (peers[id] == null) {
+            peers[id] = new Peer(server, server.pod().zone() != zone);
+        }
+        return peers[id];
+    }
+
+    private Peer peer(long id) {
+        return id < peers.length ? peers[(int) id] : null;
+    }
+
     void listed(ListKind kind, List<Upstream> lines) {
         tell(() -> balancer.listChanged(now(), kind, lines));
     }
@@ -177,6 +197,7 @@
     private void forget(VirtualCall call) {
         if (call.over && call.out == 0) {
             calls.remove(call.id);
+            world.clients().forgotten(call);
         }
     }
 
@@ -212,7 +233,7 @@
         int mine = call.tries++;
         call.out++;
         long now = now();
-        Peer peer = peers.get(upstream);
+        Peer peer = peer(upstream);
         if (refusesToSend(call, mine, now) || peer == null) {
             tell(() -> outcome(call, mine, upstream, 0, peer == null ? Outcome.CONNECT_FAILED
                     : Outcome.NEVER_SENT));
@@ -226,6 +247,7 @@
         Peer.Connection idle = peer.take();
         long there = world.link().delay(peer.crossZone);
         if (idle != null) {
+            world.busy(idle);
             attempt.connection = idle;
             attempt.written = true;
             world.clock().at(now + there, () -> arrives(attempt));
@@ -314,7 +336,6 @@
                     || outcome == Outcome.REJECTED) && connection.life == attempt.peer.server.life();
             if (keeps) {
                 connection.idle = true;
-                connection.idleSince = now();
                 attempt.peer.idle.addLast(connection);
                 world.idle(connection);
             } else {
@@ -359,7 +380,7 @@
 
     @Override
     public void probe(long upstream) {
-        Peer peer = peers.get(upstream);
+        Peer peer = peer(upstream);
         if (peer != null) {
             new Probe(peer).send();
         }
@@ -425,7 +446,7 @@
 
     @Override
     public void closeIdle(long upstream) {
-        Peer peer = peers.get(upstream);
+        Peer peer = peer(upstream);
         if (peer != null) {
             peer.closeIdle();
         }
--- a/world/src/main/java/topazvalve/world/virtual/VirtualWorld.java
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualWorld.java
@@ -75,7 +75,7 @@
                 Chance.stream(seed, "discovery"), instances);
         this.keepIdle = (long) (scenario.machines().stream().mapToLong(each -> each.idleClose()).min()
                 .orElseThrow() * IDLE_SHARE);
-        this.idleConnections = new DelayLine<>(clock, keepIdle, connection -> !connection.idle, this::stale);
+        this.idleConnections = new DelayLine<>(clock, keepIdle, this::stale);
         IntFunction<VirtualInstance> make = others == null
                 ? number -> new VirtualInstance(this, number, zone(number)) : number -> others.make(this, number);
         for (int i = 0; i < scenario.fleet().instances(); i++) {
@@ -231,16 +231,24 @@
     }
 
     void idle(Peer.Connection connection) {
-        idleConnections.add(connection);
+        connection.staleness = idleConnections.add(connection);
+    }
+
+    void busy(Peer.Connection connection) {
+        idleConnections.remove(connection.staleness);
     }
 
     private void stale(Peer.Connection connection) {
-        if (clock.now() - connection.idleSince >= keepIdle) {
+        if (connection.idle) {
             connection.peer.idle.remove(connection);
             connection.close();
         }
     }
 
+    VirtualClients clients() {
+        return clients;
+    }
+
     void received(VirtualAttempt attempt) {
         OrderServer server = attempt.peer.server;
         int id = (int) server.id();
