--- a/world/src/main/java/topazvalve/world/oracle/Trace.java
+++ b/world/src/main/java/topazvalve/world/oracle/Trace.java
@@ -15,6 +15,7 @@
     final long sentAt;
     final long deadline;
     int attempts;
+    boolean carried;
     int mayHaveRun;
     boolean everMayHaveRun;
     long firstAt;
--- a/world/src/main/java/topazvalve/world/virtual/VirtualInstance.java
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualInstance.java
@@ -229,7 +229,7 @@
         }
     }
 
-    private void send(VirtualCall call, long upstream, long timeout) {
+    void send(VirtualCall call, long upstream, long timeout) {
         int mine = call.tries++;
         call.out++;
         long now = now();
@@ -250,6 +250,7 @@
             world.busy(idle);
             attempt.connection = idle;
             attempt.written = true;
+            world.oracle().carried(call.trace);
             world.clock().at(now + there, () -> arrives(attempt));
         } else {
             world.clock().at(now + there, () -> connects(attempt));
@@ -277,7 +278,12 @@
             world.tally().connection();
             attempt.connection = new Peer.Connection(attempt.peer, server.life());
             long there = world.link().delay(attempt.peer.crossZone);
-            world.clock().at(now() + back, () -> attempt.written = !attempt.ended);
+            world.clock().at(now() + back, () -> {
+                if (!attempt.ended) {
+                    attempt.written = true;
+                    world.oracle().carried(attempt.call.trace);
+                }
+            });
             world.clock().at(now() + back + there, () -> arrives(attempt));
         }
     }
--- a/world/src/main/java/topazvalve/world/virtual/VirtualWorld.java
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualWorld.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.function.IntFunction;
 import java.util.zip.CRC32C;
+import topazvalve.decisions.Balancer.State;
 import topazvalve.world.model.Chance;
 import topazvalve.world.model.Clock;
 import topazvalve.world.model.Directory;
@@ -173,6 +174,8 @@
         discovery.forget(number);
         fleet.servers().forEach(each -> oracle.readyTold(number, each.id()));
         begin(instance);
+        directory.all().stream().filter(each -> each.state() != State.READY)
+                .forEach(each -> oracle.drainTold(number, each.server().id(), elapsed()));
     }
 
     @Override
--- /dev/null
+++ b/world/src/test/java/topazvalve/world/experiment/RunnerTest.java
@@ -0,0 +1,89 @@
+package topazvalve.world.experiment;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import topazvalve.world.policy.Policy;
+import topazvalve.world.scenario.Scenario;
+import topazvalve.world.scenario.ScenarioFile;
+import topazvalve.world.virtual.Arm;
+
+class RunnerTest {
+    @TempDir
+    private Path folder;
+
+    private static Plan plan(long seeds) {
+        Scenario scenario = ScenarioFile.parse("tiny.toml", """
+                name = "tiny"
+                length = "5s"
+                [fleet]
+                servers = 3
+                instances = 2
+                [load]
+                utilisation = 0.9
+                [[machine]]
+                name = "m"
+                cores = 1
+                [[class]]
+                name = "c"
+                work = "20ms"
+                aim = "100ms"
+                deadline = "1s"
+                repeats = "free"
+                """);
+        return new Plan("tiny", List.of(new Plan.Setting(Path.of("tiny.toml"), scenario)),
+                List.of(Arm.of(Policy.LEAST_IN_FLIGHT), Arm.of(Policy.RANDOM)), 1, seeds);
+    }
+
+    /** A stop in the middle of a line loses that run alone; going on gives what a whole run gives. */
+    @Test
+    void aStoppedExperimentGoesOnWhereItWas() throws Exception {
+        List<Result> whole = new Runner(plan(6), folder.resolve("whole"), 3).run(false, each -> { });
+        assertEquals(12, whole.size());
+        Path cut = folder.resolve("cut");
+        Runner stopped = new Runner(plan(6), cut, 1);
+        List<Result> some = stopped.run(false, each -> {
+            if (each.done() == 4) {
+                stopped.stop();
+            }
+        });
+        assertTrue(some.size() >= 4 && some.size() < 12, "stopped early: " + some.size());
+        Files.writeString(cut.resolve(Results.FILE), "{\"scenario\":\"ti", StandardOpenOption.APPEND);
+        List<Integer> done = new ArrayList<>();
+        List<Result> resumed = new Runner(plan(6), cut, 2).run(true, each -> done.add(each.done()));
+        assertEquals(12 - some.size(), done.size(), "only what was missing is run");
+        assertEquals(whole.stream().map(each -> each.key() + each.digest()).toList(),
+                resumed.stream().map(each -> each.key() + each.digest()).toList());
+    }
+
+    @Test
+    void theReportIsOneFileThatNeedsNothingElse() throws Exception {
+        List<Result> results = new Runner(plan(2), folder, 2).run(false, each -> { });
+        Path file = folder.resolve("report.html");
+        Report.write(file, "a <title>", results);
+        String html = Files.readString(file);
+        assertTrue(html.contains("a &lt;title&gt;") && html.contains("uPlot=function") || html.contains("var uPlot"));
+        assertFalse(html.matches("(?s).*(src|href)=\"[^\"]*\".*"), "refers to another file");
+    }
+
+    @Test
+    void aDifferenceIsToldWhereThereIsOneAndOnlyThere() throws Exception {
+        List<Result> results = new Runner(plan(12), folder, 4).run(false, each -> { });
+        List<Result> least = results.stream().filter(each -> each.arm().equals("least-in-flight")).toList();
+        List<Result> random = results.stream().filter(each -> each.arm().equals("random")).toList();
+        Comparison same = Comparison.of(least, least).get(0);
+        assertFalse(same.differs());
+        assertEquals(0, same.mean());
+        Comparison other = Comparison.of(least, random).get(0);
+        assertEquals(12, other.pairs());
+        assertTrue(other.differs() && other.mean() > 0, other.toString());
+    }
+}
--- /dev/null
+++ b/world/src/test/java/topazvalve/world/virtual/FaultySidecar.java
@@ -0,0 +1,98 @@
+package topazvalve.world.virtual;
+
+import java.util.List;
+import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.decisions.Balancer.State;
+import topazvalve.decisions.Balancer.Upstream;
+import topazvalve.world.model.Directory.Entry;
+import topazvalve.world.oracle.Oracle.Answer;
+import topazvalve.world.oracle.Rule;
+import topazvalve.world.scenario.WorkClass.Repeats;
+
+/** A sidecar that breaks one rule now and then, for the oracle to find. */
+final class FaultySidecar extends VirtualInstance {
+    private static final int NOW_AND_THEN = 20;
+    private static final long LATER = 1_000_000_000L;
+    private final Rule breaks;
+    private long newest = 1;
+    private long newestStart;
+
+    FaultySidecar(VirtualWorld world, int number, Rule breaks) {
+        super(world, number, world.zone(number));
+        this.breaks = breaks;
+    }
+
+    private boolean picks(VirtualCall call) {
+        return call.id % NOW_AND_THEN == 0;
+    }
+
+    private boolean of(VirtualCall call, Repeats repeats) {
+        return world.scenario().classes().get(call.requestClass).repeats() == repeats;
+    }
+
+    @Override
+    void request(VirtualCall call) {
+        if (breaks == Rule.TRUE_ANSWER && picks(call)) {
+            finish(call, Answer.SERVED, 0);
+        } else if (breaks == Rule.AT_ONCE && picks(call)) {
+            world.clock().at(world.clock().now() + (call.deadline - world.clock().now()) * 8 / 10, () ->
+                    finish(call, Answer.FAILED, 0));
+        } else {
+            super.request(call);
+            copies(call);
+        }
+    }
+
+    private void copies(VirtualCall call) {
+        boolean twice = breaks == Rule.NEVER_TWICE && of(call, Repeats.NEVER)
+                || breaks == Rule.KEYED_REPEAT && of(call, Repeats.KEYED);
+        int copies = twice ? 2 : breaks == Rule.ATTEMPTS && of(call, Repeats.FREE) ? 4 : 0;
+        for (int i = 0; i < copies && picks(call) && call.tries > 0; i++) {
+            send(call, 1 + i % world.servers().size(), 0);
+        }
+    }
+
+    @Override
+    boolean refusesToSend(VirtualCall call, int mine, long now) {
+        boolean unbounded = breaks == Rule.ATTEMPTS || breaks == Rule.NOTHING_AFTER;
+        return unbounded ? mine >= call.attempts.length : super.refusesToSend(call, mine, now);
+    }
+
+    @Override
+    void finish(VirtualCall call, Answer answer, long wait) {
+        if (breaks == Rule.ANSWERED && picks(call)) {
+            return;
+        }
+        boolean lies = breaks == Rule.HARMLESS_REFUSAL && answer == Answer.FAILED;
+        super.finish(call, lies ? Answer.REFUSED : answer, wait);
+        if (breaks == Rule.ANSWERED_ONCE && picks(call)) {
+            call.client.answered(call, answer, wait);
+        }
+        if (breaks == Rule.NOTHING_AFTER && picks(call) && call.tries < 2) {
+            world.clock().at(world.clock().now() + LATER, () -> send(call, 1, 0));
+        }
+    }
+
+    @Override
+    void heard(List<Entry> entries, long listRevision) {
+        super.heard(entries, listRevision);
+        for (Entry each : entries) {
+            if (each.state() == State.READY && each.startedAt() > newestStart) {
+                newestStart = each.startedAt();
+                newest = each.server().id();
+            }
+        }
+    }
+
+    @Override
+    void listed(ListKind kind, List<Upstream> lines) {
+        boolean deaf = breaks == Rule.DRAIN && kind != ListKind.CACHED;
+        super.listed(deaf ? ListKind.DELTA : kind,
+                deaf ? lines.stream().filter(each -> each.state() == State.READY).toList() : lines);
+    }
+
+    @Override
+    public void send(long request, long upstream, long timeout) {
+        super.send(request, breaks == Rule.COLD && newestStart > 0 ? newest : upstream, timeout);
+    }
+}
--- /dev/null
+++ b/world/src/test/java/topazvalve/world/virtual/VirtualWorldTest.java
@@ -0,0 +1,108 @@
+package topazvalve.world.virtual;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import topazvalve.world.policy.Policy;
+import topazvalve.world.scenario.Fault;
+import topazvalve.world.scenario.Scenario;
+import topazvalve.world.scenario.ScenarioFile;
+
+class VirtualWorldTest {
+    private static Run play(Scenario scenario, long seed) {
+        return new VirtualWorld(scenario, Arm.of(Policy.MODULE), seed).play();
+    }
+
+    @Test
+    void oneSeedGivesOneRun() {
+        Scenario scenario = SmallWorld.with(SmallWorld.TROUBLE);
+        Run first = play(scenario, 3);
+        Run again = play(scenario, 3);
+        assertEquals(first.digest(), again.digest());
+        assertEquals(first.events(), again.events());
+        assertTrue(Arrays.equals(first.attemptsByServer(), again.attemptsByServer()));
+        assertNotEquals(first.digest(), play(scenario, 4).digest());
+    }
+
+    /** Streams by name: another fault shifts neither arrivals nor what is asked. */
+    @Test
+    void aFaultShiftsNoArrival() {
+        Run calm = play(SmallWorld.with(""), 3);
+        Run troubled = play(SmallWorld.with(SmallWorld.TROUBLE), 3);
+        assertEquals(calm.tally().sums().asked(), troubled.tally().sums().asked());
+        for (int i = 0; i < calm.tally().seconds(); i++) {
+            assertEquals(calm.tally().second(i).asked(), troubled.tally().second(i).asked(), "second " + i);
+        }
+        assertTrue(troubled.tally().service() < calm.tally().service());
+    }
+
+    /** Every request asked for ends one way: nothing is counted twice or lost. */
+    @ParameterizedTest
+    @EnumSource(Fault.Kind.class)
+    void requestsAddUpUnderEveryFault(Fault.Kind kind) {
+        String word = kind.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        String fault = "[[fault]]\nkind = \"" + word + "\"\nstart = \"3s\"\nlength = \"5s\"\n" + switch (kind) {
+            case OVERLOAD, SHARED_SLOW -> "size = 3\n";
+            case LOSS -> "size = 0.2\n";
+            case DELAY -> "by = \"50ms\"\n";
+            case DISCOVERY_DOWN -> "";
+            case SLOW -> "share = 0.3\nsize = 4\n";
+            case SPOIL -> "share = 0.3\nsize = 0.5\n";
+            default -> "share = 0.3\n";
+        };
+        Run run = play(SmallWorld.with(fault), 11);
+        var sums = run.tally().sums();
+        assertEquals(sums.asked(), sums.good() + sums.late() + sums.refused() + sums.failed() + sums.unanswered()
+                + killed(kind, sums), sums.toString());
+        assertTrue(run.clean(), run.breaches().toString());
+    }
+
+    /** What a killed sidecar held has no end of any kind. */
+    private static long killed(Fault.Kind kind, topazvalve.world.tally.Tally.Sums sums) {
+        long without = sums.asked() - sums.good() - sums.late() - sums.refused() - sums.failed()
+                - sums.unanswered();
+        return kind == Fault.Kind.INSTANCE_RESTART && without >= 0 && without < 20 ? without : 0;
+    }
+
+    /**
+     * The processor against queueing theory: a server that shares one core evenly, under Poisson arrivals, has
+     * a mean response time of S / (1 - load), whatever the work's distribution (M/G/1-PS).
+     */
+    @Test
+    void oneServerIsAsSlowAsTheorySays() {
+        Scenario scenario = ScenarioFile.parse("ps.toml", """
+                name = "ps"
+                length = "20m"
+                [fleet]
+                servers = 1
+                instances = 1
+                [load]
+                rate = 60
+                [network]
+                same_zone = "0"
+                client = "0"
+                [discovery]
+                subscribe = false
+                [[machine]]
+                name = "m"
+                cores = 1
+                slots_per_core = 10000
+                idle_close = "10m"
+                [[class]]
+                name = "c"
+                work = "10ms"
+                spread = 1.2
+                aim = "10s"
+                deadline = "1m"
+                repeats = "free"
+                """);
+        Run run = new VirtualWorld(scenario, Arm.of(Policy.RANDOM), 5).play();
+        double mean = run.tally().latency(0).getMean() / 1e6;
+        assertEquals(10 / (1 - 0.6), mean, 1.5, "mean response in ms");
+    }
+}
