--- a/command/src/main/java/topazvalve/command/Experiments.java
+++ b/command/src/main/java/topazvalve/command/Experiments.java
@@ -40,7 +40,8 @@
     }
 
     /** Runs an experiment. */
-    @Command(name = "run", description = {"Runs an experiment in virtual time; results go to DIR as JSON lines, "
+    @Command(name = "run",
+            description = {"Runs an experiment in virtual time; results go to DIR as JSON lines, "
         + "with one HTML report.", "Ctrl-C leaves what is finished readable; --resume goes on from there."})
     static final class Run implements Callable<Integer> {
         @Spec
@@ -66,7 +67,8 @@
             }
             PrintWriter console = spec.commandLine().getOut();
             if (!resume && !Results.read(folder).isEmpty()) {
-                throw new BadInput(folder + ": has results already; go on with --resume, or name another --out", null);
+                throw new BadInput(folder
+                        + ": has results already; go on with --resume, or name another --out", null);
             }
             Runner runner = new Runner(plan, folder, threads);
             Thread main = Thread.currentThread();
@@ -87,14 +89,16 @@
             }
             boolean whole = results.size() == plan.cells().size();
             print(console, plan, results);
-            console.println((whole ? "" : "stopped early: ") + results.size() + " results and report.html are in "
+            console.println((whole ? "" : "stopped early: ") + results.size()
+                    + " results and report.html are in "
                     + folder);
             console.flush();
             if (!whole) {
                 return INTERRUPTED;
             }
             Runtime.getRuntime().removeShutdownHook(hook);
-            return results.stream().allMatch(each -> each.broken().isEmpty()) ? ExitCode.DONE : ExitCode.FAILED;
+            return results.stream().allMatch(each -> each.broken().isEmpty())
+                    ? ExitCode.DONE : ExitCode.FAILED;
         }
 
         private static void print(PrintWriter console, Plan plan, List<Result> results) {
@@ -162,8 +166,10 @@
             }
             PrintWriter console = spec.commandLine().getOut();
             for (Comparison each : all) {
-                console.printf(Locale.ROOT, "%-16s %-24s %9.4f against %9.4f: %+.4f, 95%% from %+.4f to %+.4f "
-                        + "(%d seeds): %s%n", each.scenario(), each.figure(), each.first(), each.second(), each.mean(),
+                console.printf(Locale.ROOT,
+                        "%-16s %-24s %9.4f against %9.4f: %+.4f, 95%% from %+.4f to %+.4f "
+                        + "(%d seeds): %s%n", each.scenario(), each.figure(), each.first(), each.second(),
+                                each.mean(),
                         each.mean() - each.half(), each.mean() + each.half(), each.pairs(),
                         each.differs() ? first + (each.mean() > 0 ? " has more" : " has less")
                                 : "no difference can be told");
@@ -178,7 +184,8 @@
             if (folder == null || !Files.isDirectory(folder)) {
                 throw new BadInput(named + ": no such folder of results; say --out DIR, or DIR:ARM", null);
             }
-            List<Result> found = Results.read(folder).stream().filter(each -> each.arm().equals(arm)).toList();
+            List<Result> found = Results.read(folder).stream().filter(each ->
+                    each.arm().equals(arm)).toList();
             if (found.isEmpty()) {
                 throw new BadInput(folder + ": has no results of an arm " + arm, null);
             }
--- a/world/src/main/java/topazvalve/world/experiment/Comparison.java
+++ b/world/src/main/java/topazvalve/world/experiment/Comparison.java
@@ -28,7 +28,8 @@
         figures.put("service", Result::service);
         figures.put("worst 10 s", Result::worstWindow);
         figures.put("worst class", Result::worstClass);
-        figures.put("attempts per request", each -> (double) each.sums().attempts() / Math.max(1, each.sums().asked()));
+        figures.put("attempts per request", each -> (double) each.sums().attempts() / Math.max(1,
+                each.sums().asked()));
         figures.put("runs with a broken rule", each -> each.broken().isEmpty() ? 0 : 1);
         return figures;
     }
@@ -47,7 +48,8 @@
             second.stream().filter(each -> each.scenario().equals(scenario))
                     .forEach(each -> others.put(each.seed(), each));
             List<Result> ours = first.stream()
-                    .filter(each -> each.scenario().equals(scenario) && others.containsKey(each.seed())).toList();
+                    .filter(each -> each.scenario().equals(scenario)
+                            && others.containsKey(each.seed())).toList();
             if (!ours.isEmpty()) {
                 FIGURES.forEach((name, figure) -> all.add(of(scenario, name, figure, ours, others)));
             }
@@ -68,8 +70,10 @@
             difference.addValue(a - b);
         }
         int pairs = (int) difference.getN();
-        double half = pairs < 2 ? Double.NaN : new TDistribution(pairs - 1).inverseCumulativeProbability(CONFIDENCE)
+        double half = pairs < 2
+                ? Double.NaN : new TDistribution(pairs - 1).inverseCumulativeProbability(CONFIDENCE)
                 * difference.getStandardDeviation() / Math.sqrt(pairs);
-        return new Comparison(scenario, name, pairs, one.getMean(), two.getMean(), difference.getMean(), half);
+        return new Comparison(scenario, name, pairs, one.getMean(), two.getMean(), difference.getMean(),
+                half);
     }
 }
--- a/world/src/main/java/topazvalve/world/experiment/Report.java
+++ b/world/src/main/java/topazvalve/world/experiment/Report.java
@@ -31,14 +31,16 @@
     /** Writes the report of these results. */
     public static void write(Path file, String title, List<Result> results) throws IOException {
         StringBuilder html = new StringBuilder(1 << 18);
-        html.append("<!DOCTYPE html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>").append(text(title))
+        html.append("<!DOCTYPE html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>")
+                .append(text(title))
                 .append("</title><style>").append(resource(UPLOT + "uPlot.min.css"))
                 .append(resource("report.css")).append("</style><script>")
                 .append(resource(UPLOT + "uPlot.iife.min.js")).append("</script></head><body><h1>")
                 .append(text(title)).append("</h1>");
         Set<String> scenarios = new LinkedHashSet<>(results.stream().map(Result::scenario).toList());
         for (String scenario : scenarios) {
-            scenario(html, scenario, results.stream().filter(each -> each.scenario().equals(scenario)).toList());
+            scenario(html, scenario, results.stream().filter(each ->
+                    each.scenario().equals(scenario)).toList());
         }
         html.append("<script>").append(resource("report.js")).append("</script></body></html>\n");
         Path next = file.resolveSibling(file.getFileName() + ".next");
@@ -89,13 +91,18 @@
         cell(html, mean(runs, Result::service), "%.4f");
         cell(html, mean(runs, Result::worstWindow), "%.4f");
         cell(html, mean(runs, Result::worstClass), "%.4f");
-        cell(html, mean(runs, each -> each.classes().stream().mapToDouble(Result.OfClass::p50).max().orElse(0)),
+        cell(html, mean(runs,
+                each -> each.classes().stream().mapToDouble(Result.OfClass::p50).max().orElse(0)),
                 "%.0f");
-        cell(html, mean(runs, each -> each.classes().stream().mapToDouble(Result.OfClass::p99).max().orElse(0)),
+        cell(html, mean(runs,
+                each -> each.classes().stream().mapToDouble(Result.OfClass::p99).max().orElse(0)),
                 "%.0f");
-        cell(html, mean(runs, each -> (double) each.sums().attempts() / Math.max(1, each.sums().asked())), "%.2f");
-        cell(html, mean(runs, each -> (double) each.sums().refused() / Math.max(1, each.sums().asked())), "%.3f");
-        cell(html, mean(runs, each -> (double) each.sums().failed() / Math.max(1, each.sums().asked())), "%.3f");
+        cell(html, mean(runs, each -> (double) each.sums().attempts() / Math.max(1, each.sums().asked())),
+                "%.2f");
+        cell(html, mean(runs, each -> (double) each.sums().refused() / Math.max(1, each.sums().asked())),
+                "%.3f");
+        cell(html, mean(runs, each -> (double) each.sums().failed() / Math.max(1, each.sums().asked())),
+                "%.3f");
         long broken = runs.stream().filter(each -> !each.broken().isEmpty()).count();
         html.append("<td class=\"").append(broken > 0 ? "bad" : "good").append("\">")
                 .append(broken == 0 ? "none" : "in " + broken + " runs").append("</tr>");
@@ -170,9 +177,11 @@
     private static void data(StringBuilder html, String title, List<String> names, List<List<Double>> series,
             List<Result.Trouble> faults, boolean points) {
         try {
-            String json = JSON.writeValueAsString(Map.of("title", title, "names", names, "series", series, "faults",
+            String json = JSON.writeValueAsString(Map.of("title", title, "names", names, "series", series,
+                    "faults",
                     faults, "points", points));
-            html.append("<script type=\"application/json\" class=\"plot\">").append(json.replace("</", "<\\/"))
+            html.append("<script type=\"application/json\" class=\"plot\">").append(json.replace("</",
+                    "<\\/"))
                     .append("</script>");
         } catch (JsonProcessingException e) {
             throw new IllegalStateException("figures that can't be written", e);
--- a/world/src/main/java/topazvalve/world/experiment/Result.java
+++ b/world/src/main/java/topazvalve/world/experiment/Result.java
@@ -7,7 +7,7 @@
 import topazvalve.world.scenario.Fault;
 import topazvalve.world.scenario.Scenario;
 import topazvalve.world.tally.Tally;
-import topazvalve.world.virtual.Run;
+import topazvalve.world.tally.Run;
 
 /** One run as a line of a file of results; times in milliseconds, fault times in seconds. */
 public record Result(String scenario, String arm, long seed, double goal, double service, double worstWindow,
@@ -44,7 +44,8 @@
         run.broken().forEach((rule, count) -> broken.put(rule.name(), count));
         return new Result(run.scenario(), run.arm(), run.seed(), tally.goal(), tally.service(),
                 tally.worstWindow(), tally.worstClass(), classes, tally.sums(), broken,
-                Long.toHexString(run.digest()), run.wallNanos() / 1e9, seconds, faults, run.attemptsByServer(),
+                Long.toHexString(run.digest()), run.wallNanos() / 1e9, seconds, faults,
+                        run.attemptsByServer(),
                 run.breaches().stream().limit(5).map(Object::toString).toList());
     }
 
--- a/world/src/main/java/topazvalve/world/experiment/Runner.java
+++ b/world/src/main/java/topazvalve/world/experiment/Runner.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import topazvalve.world.virtual.Run;
+import topazvalve.world.tally.Run;
 import topazvalve.world.virtual.VirtualWorld;
 
 /** Runs a plan, several runs at once, each in virtual time on one thread of its own. */
@@ -47,7 +47,8 @@
      * @param resume whether earlier results of the same plan in the folder count as done
      * @return all results, in the plan's order; fewer than the plan has if it was stopped
      */
-    public List<Result> run(boolean resume, Consumer<Progress> listener) throws IOException, InterruptedException {
+    public List<Result> run(boolean resume, Consumer<Progress> listener) throws IOException,
+            InterruptedException {
         Files.createDirectories(folder);
         List<Plan.Cell> cells = plan.cells();
         Set<String> wanted = new HashSet<>(cells.stream().map(Plan.Cell::key).toList());
--- /dev/null
+++ b/world/src/main/java/topazvalve/world/measure/Launch.java
@@ -0,0 +1,106 @@
+package topazvalve.world.measure;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One sidecar process of the deploy file's {@code run} line, on one core where the system can pin it. */
+final class Launch {
+    private final Process process;
+    private final int port;
+    private final long startedAt = System.nanoTime();
+
+    private Launch(Process process, int port) {
+        this.process = process;
+        this.port = port;
+    }
+
+    /** A configuration with one class that may be repeated, and a list that need not be asked for. */
+    static ObjectNode config(ObjectMapper json) {
+        ObjectNode root = json.createObjectNode().put("name", "m0").put("discovery",
+                "127.0.0.1:1").put("seed", "7");
+        root.putObject("limits").put("cores", 1.0).put("memory_mb", 96).put("sockets", 1024);
+        ObjectNode settings = root.putObject("settings").put("discovery", "automatic").put("quantum", 0);
+        settings.putArray("zones").add("a");
+        settings.putArray("kinds").add("m");
+        settings.putObject("report").put("how", "silent").putArray("fields");
+        settings.putObject("caps").put("mayCancel", true).put("tryLimit", 3).put("connectTimeout",
+                500_000_000L)
+                .put("connIdle", 10_000_000_000L).put("retryAfter", true).put("maxRetryAfter",
+                        1_000_000_000L);
+        settings.putObject("rules").put("answerSlack", 20_000_000).put("stopSendingWithin", 500_000_000)
+                .put("coldShare", 0.4).put("rampTime", 7_000_000_000L).put("overloadFactor", 4.0)
+                .put("tipAfter", 1_500_000_000).put("askWithin", 10_000_000_000L);
+        settings.putArray("profiles").addObject().put("name", "look-up").put("slo", 1_000_000_000)
+                .put("deadline", 5_000_000_000L).put("semantics", "repeatable");
+        return root;
+    }
+
+    /** Starts it; {@code core} below 0 pins it to none. */
+    static Launch of(Path home, Path folder, ObjectNode config, int core) throws IOException {
+        Files.createDirectories(folder);
+        int port;
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = any.getLocalPort();
+        }
+        Path file = folder.resolve("measured.json");
+        Files.writeString(file, config.put("listen", "127.0.0.1:" + port).toString());
+        String run = Files.readAllLines(home.resolve("deploy/balancer.toml")).stream()
+                .filter(each -> each.startsWith("run = \"")).findFirst()
+                .map(each -> each.substring(each.indexOf('"') + 1, each.lastIndexOf('"'))).orElseThrow();
+        ProcessBuilder builder = new ProcessBuilder(pinned(core, "/bin/sh", "-c",
+                run)).directory(home.toFile());
+        builder.environment().put("PROXY_CONFIG", file.toAbsolutePath().toString());
+        builder.environment().remove("PROXY_FD");
+        builder.environment().remove("PROXY_ADMIN");
+        return new Launch(builder.redirectErrorStream(true).start(), port);
+    }
+
+    /** A command on one core, by util-linux' {@code taskset}. */
+    static List<String> pinned(int core, String... command) {
+        List<String> all = new ArrayList<>();
+        if (core >= 0) {
+            all.addAll(List.of("taskset", "-c", Integer.toString(core)));
+        }
+        all.addAll(List.of(command));
+        return all;
+    }
+
+    int port() {
+        return port;
+    }
+
+    Duration cpu() {
+        return process.info().totalCpuDuration().orElse(Duration.ZERO);
+    }
+
+    /** Waits for the line that says it is ready; returns nanoseconds from the start until then. */
+    long awaitReady(Duration limit) throws IOException {
+        BufferedReader log = process.inputReader();
+        String line = log.readLine();
+        while (line != null && !line.contains(" ready at ")) {
+            line = log.readLine();
+        }
+        long took = System.nanoTime() - startedAt;
+        if (line == null || took > limit.toNanos()) {
+            throw new IOException("the sidecar did not start");
+        }
+        return took;
+    }
+
+    void end() throws InterruptedException {
+        process.destroy();
+        if (!process.waitFor(8, TimeUnit.SECONDS)) {
+            process.destroyForcibly();
+        }
+    }
+}
--- a/world/src/main/java/topazvalve/world/model/FaultPlayer.java
+++ b/world/src/main/java/topazvalve/world/model/FaultPlayer.java
@@ -79,6 +79,7 @@
                     long at = clock.now() + (long) (chance.part() * fault.length());
                     clock.at(at, () -> stage.restartInstance(number));
                 }
+                later(fault, () -> { });
             }
             case SPOIL -> {
                 List<OrderServer> struck = struck(fault, chance);
@@ -88,18 +89,27 @@
             case SILENT -> inMode(fault, chance, Mode.SILENT);
             case FROZEN -> inMode(fault, chance, Mode.FROZEN);
             case REFUSE -> inMode(fault, chance, Mode.REFUSING);
-            case RESET -> struck(fault, chance).forEach(OrderServer::breakAll);
+            case RESET -> {
+                struck(fault, chance).forEach(OrderServer::breakAll);
+                later(fault, () -> { });
+            }
             case VANISH -> stop(fault, chance, true);
             case RESTART -> stop(fault, chance, false);
-            case REPLACE -> struck(fault, chance).forEach(old -> replace(fault, old));
-            case DRAIN -> struck(fault, chance).forEach(server -> drain(fault, server));
+            case REPLACE -> {
+                struck(fault, chance).forEach(old -> replace(fault, old));
+                later(fault, () -> { });
+            }
+            case DRAIN -> {
+                struck(fault, chance).forEach(server -> drain(fault, server));
+                later(fault, () -> { });
+            }
             default -> throw new IllegalStateException("no such fault: " + fault.kind());
         }
     }
 
     private static String describe(Fault fault) {
-        return fault.kind().name().toLowerCase(java.util.Locale.ROOT) + " of " + Math.round(fault.share() * 100)
-                + " in 100 for " + fault.length() / 1_000_000 + " ms";
+        return fault.kind().name().toLowerCase(java.util.Locale.ROOT).replace('_', '-') + " ("
+                + Math.round(fault.share() * 100) + "% for " + fault.length() / 1_000_000_000.0 + " s)";
     }
 
     private void later(Fault fault, Runnable undo) {
@@ -133,7 +143,8 @@
     private void inMode(Fault fault, Chance chance, Mode mode) {
         List<OrderServer> struck = struck(fault, chance);
         struck.forEach(each -> each.mode(mode));
-        later(fault, () -> struck.stream().filter(each -> each.mode() == mode).forEach(each -> each.mode(Mode.UP)));
+        later(fault, () -> struck.stream().filter(each -> each.mode() == mode).forEach(each ->
+                each.mode(Mode.UP)));
     }
 
     private void stop(Fault fault, Chance chance, boolean silently) {
--- a/world/src/main/java/topazvalve/world/model/OrderServer.java
+++ b/world/src/main/java/topazvalve/world/model/OrderServer.java
@@ -90,7 +90,8 @@
         this.speed = kind.speed().at(chance.part());
         this.slots = Math.max(1, (int) Math.round(kind.slots() * kind.cores()));
         this.room = slots + (int) Math.round(kind.queue() * kind.cores());
-        this.keys = kind.knownKeys() > 0 ? new KeyMemory(kind.knownKeys() * kind.cores(), kind.keyTime()) : null;
+        this.keys = kind.knownKeys() > 0 ? new KeyMemory(kind.knownKeys() * kind.cores(),
+                kind.keyTime()) : null;
         this.progressAt = clock.now();
         pod.add(this);
         if (kind.pauseEvery() > 0) {
@@ -366,7 +367,7 @@
         spoilt = part;
     }
 
-    /** From now on it serves, is silent, stands still or refuses; what a silent one took is never answered. */
+    /** From now on it serves, is silent, stands still or refuses; a silent one never answers what it took. */
     public void mode(Mode next) {
         change(() -> {
             mode = next;
--- a/world/src/main/java/topazvalve/world/oracle/Oracle.java
+++ b/world/src/main/java/topazvalve/world/oracle/Oracle.java
@@ -75,7 +75,8 @@
         }
         Long told = drains.get(drainKey(trace.instance, server));
         if (told != null && at > told + limits.drainGrace() + flight + tolerance) {
-            broken(Rule.DRAIN, at, (at - told) / 1_000_000 + " ms after it was told of server " + server + ": "
+            broken(Rule.DRAIN, at, (at - told) / 1_000_000 + " ms after it was told of server " + server
+                    + ": "
                     + trace.describe());
         }
         if (mayRun) {
@@ -103,7 +104,8 @@
             broken(Rule.NEVER_TWICE, at, trace.describe());
         } else if (repeats == Repeats.KEYED) {
             Scope scope = trace.requestClass.scope();
-            boolean elsewhere = scope == Scope.ZONE && zone != trace.zone || scope == Scope.POD && pod != trace.pod;
+            boolean elsewhere = scope == Scope.ZONE && zone != trace.zone || scope == Scope.POD
+                    && pod != trace.pod;
             if (elsewhere || at - trace.firstAt > trace.requestClass.window() + flight + tolerance) {
                 broken(Rule.KEYED_REPEAT, at, (elsewhere ? "in another " + scope : "after the window") + ": "
                         + trace.describe());
@@ -148,6 +150,11 @@
         }
     }
 
+    /** The client has what no order server gave for this request. */
+    public void forged(Trace trace, long at) {
+        broken(Rule.TRUE_ANSWER, at, "not the answer made for it: " + trace.describe());
+    }
+
     /** Nobody can expect an answer: the sidecar was killed, or the client has left. */
     public void excused(Trace trace) {
         trace.excused = true;
--- a/world/src/main/java/topazvalve/world/oracle/Trace.java
+++ b/world/src/main/java/topazvalve/world/oracle/Trace.java
@@ -42,6 +42,16 @@
         this.deadline = deadline;
     }
 
+    /** Its number. */
+    public long id() {
+        return id;
+    }
+
+    /** When it was sent. */
+    public long sentAt() {
+        return sentAt;
+    }
+
     /** Whether its one answer has come. */
     public boolean answered() {
         return answers > 0;
--- /dev/null
+++ b/world/src/main/java/topazvalve/world/real/SidecarProcess.java
@@ -0,0 +1,138 @@
+package topazvalve.world.real;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import topazvalve.world.scenario.Scenario;
+import topazvalve.world.scenario.WorkClass;
+
+/** The packaged sidecar as a process of its own, started by the deploy file's {@code run} line. */
+final class SidecarProcess {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private final Path home;
+    private final Path folder;
+    private final String name;
+    private final int port;
+    private final int adminPort;
+    private Process process;
+
+    SidecarProcess(Path home, Path folder, int number) throws IOException {
+        this.home = home;
+        this.folder = folder;
+        this.name = "n" + number;
+        this.port = freePort();
+        this.adminPort = freePort();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return any.getLocalPort();
+        }
+    }
+
+    /** Where clients connect. */
+    int port() {
+        return port;
+    }
+
+    int adminPort() {
+        return adminPort;
+    }
+
+    /** Starts it; it is ready once its {@code /up} says so. */
+    void start(Scenario scenario, int discoveryPort, ObjectNode known, long seed) throws IOException {
+        Path file = folder.resolve(name + ".json");
+        Files.writeString(file, config(scenario, discoveryPort, known, seed).toString());
+        String run = Files.readAllLines(home.resolve("deploy/balancer.toml")).stream()
+                .filter(each -> each.startsWith("run = \"")).findFirst()
+                .map(each -> each.substring(each.indexOf('"') + 1, each.lastIndexOf('"')))
+                .orElseThrow(() -> new IOException("deploy/balancer.toml has no run line"));
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).directory(home.toFile());
+        builder.environment().put("PROXY_CONFIG", file.toString());
+        builder.environment().remove("PROXY_FD");
+        builder.environment().remove("PROXY_ADMIN");
+        File log = folder.resolve(name + ".log").toFile();
+        process = builder.redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start();
+    }
+
+    boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    /** CPU that it has had so far; zero where the system does not say. */
+    Duration cpu() {
+        return process.info().totalCpuDuration().orElse(Duration.ZERO);
+    }
+
+    void kill() {
+        process.destroyForcibly();
+    }
+
+    /** Ends it in order, and by force if that takes longer than it may. */
+    void end(long longestMs) throws InterruptedException {
+        if (process != null) {
+            process.destroy();
+            if (!process.waitFor(longestMs, TimeUnit.MILLISECONDS)) {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private ObjectNode config(Scenario scenario, int discoveryPort, ObjectNode known, long seed) {
+        ObjectNode root = JSON.createObjectNode().put("name", name).put("listen", "127.0.0.1:" + port)
+                .put("admin", "127.0.0.1:" + adminPort).put("discovery", "127.0.0.1:" + discoveryPort)
+                .put("seed", Long.toHexString(seed));
+        root.putObject("limits").put("cores", 1.0).put("memory_mb", 96).put("sockets", 1024);
+        root.set("known", known);
+        ObjectNode settings = root.putObject("settings").put("discovery", "subscribe").put("quantum", 0)
+                .put("rank", 0).put("replicasOfMe", scenario.fleet().instances());
+        ArrayNode zones = settings.putArray("zones");
+        scenario.fleet().zones().forEach(zones::add);
+        ArrayNode kinds = settings.putArray("kinds");
+        scenario.machines().forEach(each -> kinds.add(each.name()));
+        settings.putObject("report").put("how", "silent").putArray("fields");
+        long idle = scenario.machines().stream().mapToLong(each -> each.idleClose()).min().orElseThrow();
+        settings.putObject("caps").put("mayCancel", true).put("mayProbe", true).put("retryAfter", true)
+                .put("tryLimit", scenario.limits().attempts())
+                .put("maxRetryAfter", scenario.clients().maxRetryAfter())
+                .put("connectTimeout", scenario.limits().connectTimeout()).put("connIdle", idle);
+        settings.putObject("charges").put("probe", 0.01);
+        settings.putObject("rules").put("answerSlack", scenario.limits().answerSlack())
+                .put("stopSendingWithin", scenario.limits().drainGrace())
+                .put("askWithin", scenario.limits().askWithin()).put("coldShare",
+                        scenario.limits().coldShare())
+                .put("rampTime", scenario.limits().rampTime())
+                .put("overloadFactor", scenario.limits().overloadFactor())
+                .put("tipAfter", scenario.limits().tipAfter());
+        ArrayNode profiles = settings.putArray("profiles");
+        scenario.classes().forEach(each -> profiles.add(profile(each)));
+        return root;
+    }
+
+    private static ObjectNode profile(WorkClass kind) {
+        ObjectNode profile = JSON.createObjectNode().put("name", kind.name()).put("slo", kind.aim())
+                .put("deadline", kind.deadline()).put("worth", kind.worth())
+                .put("semantics", switch (kind.repeats()) {
+                    case FREE -> "repeatable";
+                    case KEYED -> "by_key";
+                    case NEVER -> "once";
+                });
+        if (kind.repeats() == WorkClass.Repeats.KEYED) {
+            profile.put("keyTtl", kind.window()).put("keyScope", switch (kind.scope()) {
+                case ALL -> "all";
+                case ZONE -> "zone";
+                case POD -> "cell";
+            });
+        }
+        return profile;
+    }
+}
--- a/world/src/main/java/topazvalve/world/scenario/Fault.java
+++ b/world/src/main/java/topazvalve/world/scenario/Fault.java
@@ -64,7 +64,8 @@
         }
         double size = 1;
         if (SIZED.contains(kind)) {
-            size = PARTS.contains(kind) ? table.number("size", null, 0, 1) : table.number("size", null, 0.01, 1000);
+            size = PARTS.contains(kind) ? table.number("size", null, 0, 1) : table.number("size", null, 0.01,
+                    1000);
         }
         long by = kind == Kind.DELAY ? table.duration("by", null, "1us", "1m") : 0;
         if (start >= runLength) {
--- a/world/src/main/java/topazvalve/world/scenario/MachineKind.java
+++ b/world/src/main/java/topazvalve/world/scenario/MachineKind.java
@@ -13,7 +13,7 @@
  * @param cancel what giving an attempt up stops
  * @param honoursDeadline drops waiting requests whose time is over
  * @param crowdedAt requests held for each core from which, held for {@code crowdedAfter}, it turns
- *     {@code crowdedSlower} times slower until it has been down to a quarter for {@code crowdedRest}; 0: never
+ *     {@code crowdedSlower} times slower until down to a quarter for {@code crowdedRest}; 0: never
  * @param connections how many open ones it accepts
  * @param connectionCost work of accepting one
  * @param idleClose it closes a connection that is idle for so long
@@ -43,9 +43,11 @@
                 table.number("errors", 0.0, 0, 1), table.choice(Cancel.class, "cancel", Cancel.NOTHING),
                 table.flag("honours_deadline", false), table.number("crowded_at", 0.0, 0, 100_000),
                 table.number("crowded_slower", 2.0, 1, 100), table.duration("crowded_after", "2s", "0", "1m"),
-                table.duration("crowded_rest", "3s", "0", "10m"), table.whole("connections", 1500, 1, 1_000_000),
+                table.duration("crowded_rest", "3s", "0", "10m"), table.whole("connections", 1500, 1,
+                        1_000_000),
                 table.duration("connection_cost", "0", "0", "1s"),
-                table.duration("idle_close", "5s", "10ms", "10m"), table.whole("known_keys_per_core", 0, 0, 1_000_000),
+                table.duration("idle_close", "5s", "10ms", "10m"), table.whole("known_keys_per_core", 0, 0,
+                        1_000_000),
                 table.number("key_gain", 0.0, 0, 0.99), table.duration("key_time", "5s", "0", "10m"));
         if (table.has("pause") != table.has("pause_every")) {
             table.wrong(table.has("pause") ? "pause" : "pause_every", "pause and pause_every go together");
--- a/world/src/main/java/topazvalve/world/scenario/Scenario.java
+++ b/world/src/main/java/topazvalve/world/scenario/Scenario.java
@@ -53,7 +53,8 @@
             long patience) { }
 
     /** The numbers behind the rules. */
-    public record Limits(long drainGrace, long answerSlack, double overloadFactor, long tipAfter, int attempts,
+    public record Limits(long drainGrace, long answerSlack, double overloadFactor, long tipAfter,
+            int attempts,
             long connectTimeout, long askWithin, double coldShare, long rampTime) { }
 
     /**
@@ -96,6 +97,7 @@
     /** First tries a second of a mean instance. */
     public double instanceRate() {
         return load.rate() > 0 ? load.rate()
-                : load.utilisation() * meanCapacity() * fleet.servers() * 1e9 / meanWork() / fleet.instances();
+                : load.utilisation() * meanCapacity() * fleet.servers() * 1e9 / meanWork()
+                        / fleet.instances();
     }
 }
--- a/world/src/main/java/topazvalve/world/scenario/ScenarioFile.java
+++ b/world/src/main/java/topazvalve/world/scenario/ScenarioFile.java
@@ -75,7 +75,8 @@
         Clients clients = clients(table.table("clients"));
         List<Fault> faults = table.tables("fault", 0).stream().map(each -> Fault.read(each, length)).toList();
         Chaos chaos = chaos(table.table("chaos"));
-        return new Scenario(name, about, length, settle, fleet, load, network, news, limits, machines, classes,
+        return new Scenario(name, about, length, settle, fleet, load, network, news, limits, machines,
+                classes,
                 clients, faults, chaos);
     }
 
@@ -124,7 +125,8 @@
         long longest = machines.stream().mapToLong(MachineKind::coldTime).max().orElse(0);
         return new Limits(table.duration("drain_grace", "500ms", "0", "1m"),
                 table.duration("answer_slack", "20ms", "0", "10s"),
-                table.number("overload_factor", 4.0, 1, 1000), table.duration("tip_after", "3s", "10ms", "1m"),
+                table.number("overload_factor", 4.0, 1, 1000), table.duration("tip_after", "3s", "10ms",
+                        "1m"),
                 table.whole("attempts", 4, 1, 4), table.duration("connect_timeout", "200ms", "1ms", "1m"),
                 table.duration("ask_within", "10s", "0", "10m"), coldest, longest);
     }
@@ -149,7 +151,9 @@
                 kinds.add(found);
             }
         }
-        return new Chaos(table.whole("count", 0, 0, 1000), kinds, table.range("length_s", new Range(2, 10), 0, 600),
-                table.range("share", new Range(0.1, 0.3), 0, 1), table.range("size", new Range(2, 6), 0.01, 1000));
+        return new Chaos(table.whole("count", 0, 0, 1000), kinds, table.range("length_s", new Range(2, 10), 0,
+                600),
+                table.range("share", new Range(0.1, 0.3), 0, 1), table.range("size", new Range(2, 6), 0.01,
+                        1000));
     }
 }
--- a/world/src/main/java/topazvalve/world/scenario/Table.java
+++ b/world/src/main/java/topazvalve/world/scenario/Table.java
@@ -112,7 +112,8 @@
         JsonNode low = value.isArray() ? value.path(0) : value;
         JsonNode high = value.isArray() ? value.path(1) : value;
         if (value.isArray() && value.size() != 2 || !low.isNumber() || !high.isNumber()
-                || !(low.asDouble() >= least && high.asDouble() <= most && low.asDouble() <= high.asDouble())) {
+                || !(low.asDouble() >= least && high.asDouble() <= most
+                        && low.asDouble() <= high.asDouble())) {
             wrong(key, value + " is not " + meant);
             return new Range(least, least);
         }
@@ -189,7 +190,8 @@
         }
         List<String> read = new ArrayList<>();
         value.forEach(each -> read.add(each.isTextual() ? each.asText() : ""));
-        if (!value.isArray() || read.isEmpty() || read.contains("") || Set.copyOf(read).size() < read.size()) {
+        if (!value.isArray() || read.isEmpty() || read.contains("")
+                || Set.copyOf(read).size() < read.size()) {
             wrong(key, value + " is not a list of different texts in quotes");
             return absent == null ? List.of("?") : absent;
         }
@@ -211,7 +213,8 @@
 
     /** An array of tables; {@code least} is how many there must be. */
     List<Table> tables(String key, int least) {
-        JsonNode value = value(key, least > 0, "[[" + at(key) + "]] has to be given " + least + " times or more");
+        JsonNode value = value(key, least > 0, "[[" + at(key) + "]] has to be given " + least
+                + " times or more");
         List<Table> made = new ArrayList<>();
         if (value != null && !value.isArray()) {
             wrong(key, "is not an array of tables [[" + at(key) + "]]");
--- a/world/src/main/java/topazvalve/world/virtual/Run.java
+++ b/world/src/main/java/topazvalve/world/tally/Run.java
@@ -1,11 +1,10 @@
-package topazvalve.world.virtual;
+package topazvalve.world.tally;
 
 import java.util.List;
 import java.util.Map;
 import topazvalve.world.oracle.Breach;
 import topazvalve.world.oracle.Rule;
 import topazvalve.world.scenario.Fault;
-import topazvalve.world.tally.Tally;
 
 /**
  * What one run came to.
@@ -17,7 +16,8 @@
  * @param attemptsByServer by the server's id, from 1
  */
 public record Run(String scenario, String arm, long seed, Tally tally, Map<Rule, Integer> broken,
-        List<Breach> breaches, List<Fault> faults, List<String> notes, long digest, long requests, long events,
+        List<Breach> breaches, List<Fault> faults, List<String> notes, long digest, long requests,
+                long events,
         long wallNanos, long[] attemptsByServer) {
 
     /** Whether every rule held. */
--- a/world/src/main/java/topazvalve/world/virtual/Arm.java
+++ b/world/src/main/java/topazvalve/world/virtual/Arm.java
@@ -18,7 +18,8 @@
 
     /** The policy with the scenario's own settings, all allowed. */
     public static Arm of(Policy policy) {
-        return new Arm(policy.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'), policy, 0, true, true,
+        return new Arm(policy.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'), policy, 0, true,
+                true,
                 true);
     }
 
--- a/world/src/main/java/topazvalve/world/virtual/VirtualAttempt.java
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualAttempt.java
@@ -18,7 +18,8 @@
     boolean ran;
     boolean ended;
 
-    VirtualAttempt(VirtualInstance instance, VirtualCall call, int number, Peer peer, double work, long sentAt) {
+    VirtualAttempt(VirtualInstance instance, VirtualCall call, int number, Peer peer, double work,
+            long sentAt) {
         super(work, call.requestClass, call.key, call.deadline);
         this.instance = instance;
         this.call = call;
--- a/world/src/main/java/topazvalve/world/virtual/VirtualClients.java
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualClients.java
@@ -70,7 +70,8 @@
         long deadline = now + wish.patience();
         Trace trace = new Trace(id, number, scenario.classes().get(wish.requestClass()),
                 world.sinceStart(now), world.sinceStart(deadline));
-        VirtualCall call = new VirtualCall(id, number, trace, wish.requestClass(), wish.key(), wish.work(), deadline,
+        VirtualCall call = new VirtualCall(id, number, trace, wish.requestClass(), wish.key(), wish.work(),
+                deadline,
                 retry, firstAt, world.attemptLimit() + 2,
                 (ended, answer, wait) -> answered(ended, answer, wait, wish));
         world.oracle().sent(trace);
@@ -132,7 +133,8 @@
                 || kind.repeats() == Repeats.KEYED && kind.scope() == Scope.ALL;
         if (wish.retries() && !retry && harmless) {
             long pause = wish.heeds() && wait > 0
-                    ? Math.max(scenario.clients().backoff(), Math.min(wait, scenario.clients().maxRetryAfter()))
+                    ? Math.max(scenario.clients().backoff(), Math.min(wait,
+                            scenario.clients().maxRetryAfter()))
                     : scenario.clients().backoff();
             world.clock().at(world.clock().now() + pause, () -> {
                 world.tally().retry();
--- a/world/src/main/java/topazvalve/world/virtual/VirtualWorld.java
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualWorld.java
@@ -20,6 +20,7 @@
 import topazvalve.world.oracle.Oracle.Answer;
 import topazvalve.world.scenario.Fault;
 import topazvalve.world.scenario.Scenario;
+import topazvalve.world.tally.Run;
 import topazvalve.world.tally.Tally;
 
 /** One scenario, one arm, one seed, in virtual time: the same three give the same run to the last event. */
@@ -78,7 +79,8 @@
                 .orElseThrow() * IDLE_SHARE);
         this.idleConnections = new DelayLine<>(clock, keepIdle, this::stale);
         IntFunction<VirtualInstance> make = others == null
-                ? number -> new VirtualInstance(this, number, zone(number)) : number -> others.make(this, number);
+                ? number -> new VirtualInstance(this, number, zone(number)) : number -> others.make(this,
+                        number);
         for (int i = 0; i < scenario.fleet().instances(); i++) {
             instances.add(make.apply(i));
         }
@@ -121,7 +123,8 @@
         instances.forEach(this::begin);
         clients.start();
         long rest = scenario.classes().stream().mapToLong(each -> each.deadline()).max().orElseThrow();
-        clock.runUntil(end() + 2 * rest + scenario.clients().maxRetryAfter() + scenario.limits().answerSlack());
+        clock.runUntil(end() + 2 * rest + scenario.clients().maxRetryAfter()
+                + scenario.limits().answerSlack());
         return new Run(scenario.name(), arm.name(), seed, tally, oracle.counts(), oracle.breaches(),
                 faults, List.copyOf(notes), digest.getValue(), oracle.requests(), clock.fired(),
                 System.nanoTime() - began, attemptsByServer);
--- a/world/src/test/java/topazvalve/world/experiment/RunnerTest.java
+++ b/world/src/test/java/topazvalve/world/experiment/RunnerTest.java
@@ -70,7 +70,8 @@
         Path file = folder.resolve("report.html");
         Report.write(file, "a <title>", results);
         String html = Files.readString(file);
-        assertTrue(html.contains("a &lt;title&gt;") && html.contains("uPlot=function") || html.contains("var uPlot"));
+        assertTrue(html.contains("a &lt;title&gt;") && html.contains("uPlot=function")
+                || html.contains("var uPlot"));
         assertFalse(html.matches("(?s).*(src|href)=\"[^\"]*\".*"), "refers to another file");
     }
 
--- a/world/src/test/java/topazvalve/world/scenario/ScenarioFileTest.java
+++ b/world/src/test/java/topazvalve/world/scenario/ScenarioFileTest.java
@@ -58,7 +58,8 @@
                 other.set(i, key + " = " + wrong);
                 List<Problem> problems = refused(other).problems();
                 assertTrue(problems.stream().anyMatch(each -> each.line() == line && each.key().endsWith(key)
-                        && each.toString().startsWith("x.toml:" + line + ": ")), key + " = " + wrong + ": " + problems);
+                        && each.toString().startsWith("x.toml:" + line + ": ")), key + " = " + wrong + ": "
+                                + problems);
             }
             tried++;
         }
@@ -67,9 +68,11 @@
 
     @Test
     void allFaultsAreToldAtOnceAndInOrder() {
-        BadScenario bad = refused(List.of("nam = \"x\"", "length = \"10\"", "[load]", "rate = 1", "rhythm = 2"));
+        BadScenario bad = refused(List.of("nam = \"x\"", "length = \"10\"", "[load]", "rate = 1",
+                "rhythm = 2"));
         List<String> told = bad.problems().stream().map(Problem::key).toList();
-        assertTrue(told.containsAll(List.of("name", "nam", "length", "load.rhythm", "machine", "class")), told.toString());
+        assertTrue(told.containsAll(List.of("name", "nam", "length", "load.rhythm", "machine", "class")),
+                told.toString());
         assertEquals(bad.problems().stream().map(Problem::line).sorted().toList(),
                 bad.problems().stream().map(Problem::line).toList());
     }
--- a/world/src/test/java/topazvalve/world/virtual/OracleTest.java
+++ b/world/src/test/java/topazvalve/world/virtual/OracleTest.java
@@ -10,6 +10,7 @@
 import topazvalve.world.oracle.Rule;
 import topazvalve.world.policy.Policy;
 import topazvalve.world.scenario.Scenario;
+import topazvalve.world.tally.Run;
 
 /** The oracle finds each rule's breach by a sidecar that breaks it, and none where none is. */
 class OracleTest {
@@ -34,7 +35,8 @@
     @Test
     void noneIsFoundWhereNoneIsBroken() {
         for (long seed = 1; seed <= 5; seed++) {
-            Run run = new VirtualWorld(SmallWorld.with(SmallWorld.TROUBLE), Arm.of(Policy.MODULE), seed).play();
+            Run run = new VirtualWorld(SmallWorld.with(SmallWorld.TROUBLE), Arm.of(Policy.MODULE),
+                    seed).play();
             assertEquals(Map.of(), run.broken(), run.breaches().toString());
         }
     }
--- a/world/src/test/java/topazvalve/world/virtual/SmallWorld.java
+++ b/world/src/test/java/topazvalve/world/virtual/SmallWorld.java
@@ -54,7 +54,8 @@
             repeats = "never"
             """;
     static final String TROUBLE = fault("silent", 2, 4, 0.2) + fault("drain", 4, 4, 0.2)
-            + fault("restart", 7, 1, 0.4) + fault("vanish", 10, 3, 0.2) + fault("instance-restart", 9, 1, 0.4);
+            + fault("restart", 7, 1, 0.4) + fault("vanish", 10, 3, 0.2) + fault("instance-restart", 9, 1,
+                    0.4);
 
     private SmallWorld() { }
 
--- a/world/src/test/java/topazvalve/world/virtual/VirtualWorldTest.java
+++ b/world/src/test/java/topazvalve/world/virtual/VirtualWorldTest.java
@@ -11,6 +11,7 @@
 import topazvalve.world.policy.Policy;
 import topazvalve.world.scenario.Fault;
 import topazvalve.world.scenario.Scenario;
+import topazvalve.world.tally.Run;
 import topazvalve.world.scenario.ScenarioFile;
 
 class VirtualWorldTest {
@@ -46,7 +47,8 @@
     @EnumSource(Fault.Kind.class)
     void requestsAddUpUnderEveryFault(Fault.Kind kind) {
         String word = kind.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
-        String fault = "[[fault]]\nkind = \"" + word + "\"\nstart = \"3s\"\nlength = \"5s\"\n" + switch (kind) {
+        String fault = "[[fault]]\nkind = \"" + word + "\"\nstart = \"3s\"\nlength = \"5s\"\n"
+                + switch (kind) {
             case OVERLOAD, SHARED_SLOW -> "size = 3\n";
             case LOSS -> "size = 0.2\n";
             case DELAY -> "by = \"50ms\"\n";
@@ -57,7 +59,8 @@
         };
         Run run = play(SmallWorld.with(fault), 11);
         var sums = run.tally().sums();
-        assertEquals(sums.asked(), sums.good() + sums.late() + sums.refused() + sums.failed() + sums.unanswered()
+        assertEquals(sums.asked(), sums.good() + sums.late() + sums.refused() + sums.failed()
+                + sums.unanswered()
                 + killed(kind, sums), sums.toString());
         assertTrue(run.clean(), run.breaches().toString());
     }
@@ -70,8 +73,8 @@
     }
 
     /**
-     * The processor against queueing theory: a server that shares one core evenly, under Poisson arrivals, has
-     * a mean response time of S / (1 - load), whatever the work's distribution (M/G/1-PS).
+     * The processor against theory: a server that shares one core evenly, under Poisson arrivals, has a
+     * mean response time of S / (1 - load), whatever the work's distribution (M/G/1-PS).
      */
     @Test
     void oneServerIsAsSlowAsTheorySays() {
