--- /dev/null
+++ b/command/src/main/java/topazvalve/command/SimHost.java
@@ -0,0 +1,26 @@
+package topazvalve.command;
+
+import java.io.BufferedInputStream;
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import topazvalve.world.policy.Policy;
+
+/** Any policy on the simulator's wire, so that both worlds can be asked how they rank them. */
+@Command(name = "simhost", description = "Hosts any policy on the simulator's wire, on standard streams.")
+final class SimHost implements Callable<Integer> {
+    @Option(names = "--policy", defaultValue = "module",
+            description = "who decides: ${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})")
+    private Policy policy;
+
+    @Override
+    public Integer call() throws IOException {
+        topazvalve.simhost.Main.run(new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
+                new FileOutputStream(FileDescriptor.out), policy::make);
+        return ExitCode.DONE;
+    }
+}
--- a/sidecar/src/main/java/topazvalve/sidecar/WarmUp.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/WarmUp.java
@@ -34,35 +34,42 @@
  * its own listeners, and an instance of the module that nobody hears decides for requests that do not exist.
  */
 final class WarmUp {
+    /** Fewer start sooner and cost the first seconds: 200 lost 0.02 of the upgrade and retune days. */
     private static final int ROUNDS = 600;
     private static final long PATIENCE = 1_000_000_000;
-    /** On a crowded core a cold sidecar is better than a late one. */
-    private static final long LONGEST = 3_000_000_000L;
+    /** For all rounds together: on a crowded core a cold sidecar is better than a late one. */
+    private static final long LONGEST = 1_000_000_000L;
     private static final long STEP = 10_000_000;
 
     private final Upstreams self;
     private final Runnable done;
-    private final long began = System.nanoTime();
+    private final long began;
 
-    private WarmUp(Upstreams self, Runnable done) {
+    private WarmUp(long began, Upstreams self, Runnable done) {
+        this.began = began;
         this.self = self;
         this.done = done;
     }
 
     /** Runs on the loop; {@code done} follows also if there is no listener or it can't be reached. */
     static void run(EventLoop loop, Config config, InetSocketAddress listener, Runnable done) {
-        decide(config.options().settings());
-        answer(loop, config);
+        long began = System.nanoTime();
+        decide(began, config.options().settings());
+        answer(began, loop, config);
         Upstreams self = new Upstreams(loop, config.options(), 1);
         if (listener != null) {
             self.listed(0, listener, 0, true);
         }
-        new WarmUp(self, done).ask(ROUNDS);
+        new WarmUp(began, self, done).ask(ROUNDS);
+    }
+
+    private static boolean late(long began) {
+        return System.nanoTime() - began > LONGEST;
     }
 
     /** The answer is an error, since nothing is ready: the way there and back is the same. */
     private void ask(int left) {
-        if (left == 0 || System.nanoTime() - began > LONGEST) {
+        if (left == 0 || late(began)) {
             self.close();
             done.run();
             return;
@@ -73,7 +80,7 @@
     }
 
     /** A frontend that nobody can reach takes requests; its engine, which knows no server, refuses them. */
-    private static void answer(EventLoop loop, Config config) {
+    private static void answer(long began, EventLoop loop, Config config) {
         ClassTable classes = new ClassTable();
         Engine engine = new Engine(loop, config, ROUNDS, new Metrics(), classes);
         List<String> tenants = config.options().names("parties");
@@ -82,7 +89,7 @@
         EmbeddedChannel client = new EmbeddedChannel(frontend.connections());
         List<RequestClass> rules = config.options().settings().classes();
         List<String> names = config.options().names("profiles");
-        for (int i = 0; i < ROUNDS; i++) {
+        for (int i = 0; i < ROUNDS && !late(began); i++) {
             Semantics semantics = rules.get(i % rules.size()).semantics();
             String request = (semantics == Semantics.REPEATABLE ? "GET" : "POST") + " /api/x HTTP/1.1\r\n"
                     + "Host: app.svc\r\nReq-Id: " + i + "\r\n"
@@ -100,13 +107,13 @@
         engine.stop();
     }
 
-    private static void decide(Settings settings) {
+    private static void decide(long began, Settings settings) {
         Balancer rules = new Rules(settings, 0, new Unheard());
         long now = System.nanoTime() & Long.MAX_VALUE;
         rules.start(now);
         rules.listChanged(now, ListKind.CACHED, List.of(
                 new Upstream(1, 0, 0, 0, State.READY, 1, 0), new Upstream(2, 0, 0, 0, State.READY, 1, 0)));
-        for (int i = 0; i < ROUNDS; i++) {
+        for (int i = 0; i < ROUNDS && !late(began); i++) {
             now += STEP;
             rules.request(now,
                     new Request(i, i % settings.classes().size(), 0, 0, PATIENCE, 0, false, false));
--- a/simhost/src/main/java/topazvalve/simhost/Host.java
+++ b/simhost/src/main/java/topazvalve/simhost/Host.java
@@ -11,7 +11,6 @@
 import topazvalve.decisions.Balancer.State;
 import topazvalve.decisions.Balancer.Upstream;
 import topazvalve.decisions.Options;
-import topazvalve.decisions.Rules;
 
 /**
  * Hands the events of a batch to the instances they name. It decides nothing and shares nothing between
@@ -27,9 +26,11 @@
     private final Map<Integer, Balancer> instances = new HashMap<>();
     private final List<List<Upstream>> lists = new ArrayList<>();
     private final Replies replies;
+    private final Decider decider;
 
-    Host(Replies replies) {
+    Host(Replies replies, Decider decider) {
         this.replies = replies;
+        this.decider = decider;
         for (int i = 0; i < MAX_LISTS; i++) {
             lists.add(null);
         }
@@ -77,7 +78,8 @@
     private void provision(long now, Cursor in) {
         int sidecar = in.u16();
         long seed = in.i64();
-        Balancer instance = new Rules(new Options(in.text(in.u32())).settings(), seed, replies.sink(sidecar));
+        Balancer instance = decider.make(new Options(in.text(in.u32())).settings(), seed,
+                replies.sink(sidecar));
         instances.put(sidecar, instance);
         instance.start(now);
     }
--- a/simhost/src/main/java/topazvalve/simhost/Main.java
+++ b/simhost/src/main/java/topazvalve/simhost/Main.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import org.slf4j.Logger;
+import topazvalve.decisions.Rules;
 import topazvalve.logging.Logging;
 
 /** Entry point: {@code java -jar topazvalve-simhost.jar adapter} plays the wire on standard streams. */
@@ -36,8 +37,13 @@
     }
 
     static void run(InputStream in, OutputStream out) throws IOException {
+        run(in, out, Rules::new);
+    }
+
+    /** Runs until input ends, with instances of another make. */
+    public static void run(InputStream in, OutputStream out, Decider decider) throws IOException {
         Replies replies = new Replies();
-        Host host = new Host(replies);
+        Host host = new Host(replies, decider);
         byte[] header = new byte[HEADER];
         byte[] body = new byte[1 << 16];
         for (long frame = 0;; frame++) {
