--- a/command/src/main/java/topazvalve/command/Experiments.java
+++ b/command/src/main/java/topazvalve/command/Experiments.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -30,6 +32,8 @@
         subcommands = {Experiments.Run.class, Experiments.Compare.class})
 final class Experiments implements Runnable {
     private static final int INTERRUPTED = 130;
+    /** Ctrl-C waits so long for the report of what is finished. */
+    private static final long LONGEST_END_S = 20;
 
     @Spec
     private CommandSpec spec;
@@ -65,22 +69,31 @@
             if (threads < 1) {
                 throw new BadInput("--jobs: " + threads + " is not a whole number above 0", null);
             }
-            PrintWriter console = spec.commandLine().getOut();
             if (!resume && !Results.read(folder).isEmpty()) {
                 throw new BadInput(folder
                         + ": has results already; go on with --resume, or name another --out", null);
             }
             Runner runner = new Runner(plan, folder, threads);
-            Thread main = Thread.currentThread();
+            CountDownLatch told = new CountDownLatch(1);
             Thread hook = new Thread(() -> {
                 runner.stop();
                 try {
-                    main.join();
+                    told.await(LONGEST_END_S, TimeUnit.SECONDS);
                 } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                 }
             });
             Runtime.getRuntime().addShutdownHook(hook);
+            try {
+                return run(plan, runner, folder, hook);
+            } finally {
+                told.countDown();
+            }
+        }
+
+        private int run(Plan plan, Runner runner, Path folder, Thread hook)
+                throws IOException, InterruptedException {
+            PrintWriter console = spec.commandLine().getOut();
             List<Result> results = runner.run(resume, each -> console.printf(Locale.ROOT,
                     "%d of %d runs, %d with a broken rule, about %.0f s left%n", each.done(), each.all(),
                     each.broken(), each.leftS()));
--- a/command/src/test/java/topazvalve/command/CommandIT.java
+++ b/command/src/test/java/topazvalve/command/CommandIT.java
@@ -72,4 +72,30 @@
         assertEquals(2, result.status);
         assertTrue(result.err.contains("not set: PROXY_CONFIG"), result.err);
     }
+
+    /** The packaged sidecar between stand-ins, through a drain, restarts and a kill: real bytes. */
+    @Test
+    void aShortScenarioOnRealSocketsKeepsEveryRule() throws Exception {
+        Result result = run("world", "command/src/test/resources/short.toml", "--real", "--out",
+                folder.resolve("real").toString());
+        assertEquals(0, result.status, result.out + result.err);
+        assertTrue(result.out.contains("rules: all held"), result.out);
+        assertTrue(Files.size(folder.resolve("real/report.html")) > 50_000, "the report holds its plots");
+        assertEquals(7, result.out.lines().filter(line -> line.contains(" req/s ")).count(), result.out);
+    }
+
+    /** Every fault of a scenario is told, each on a line of its own with its place, and nothing is played. */
+    @Test
+    void aBadScenarioIsRefusedWithEveryFault() throws Exception {
+        String good = Files.readString(Path.of("command/src/test/resources/short.toml"));
+        Path bad = Files.writeString(folder.resolve("bad.toml"), good.replace("servers = 4", "sevrers = 4")
+                .replace("length = \"7s\"", "length = 7"));
+        for (String verb : List.of("check", "world")) {
+            Result result = run(verb, bad.toString());
+            assertEquals(2, result.status, result.err);
+            assertEquals("", result.out);
+            assertTrue(result.err.contains("bad.toml:3: length: 7 is not a duration")
+                    && result.err.contains("fleet.sevrers: unknown key; was \"servers\" meant?"), result.err);
+        }
+    }
 }
--- a/sidecar/src/main/java/topazvalve/sidecar/WarmUp.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/WarmUp.java
@@ -38,7 +38,7 @@
     private static final int ROUNDS = 600;
     private static final long PATIENCE = 1_000_000_000;
     /** For all rounds together: on a crowded core a cold sidecar is better than a late one. */
-    private static final long LONGEST = 1_000_000_000L;
+    private static final long LONGEST = 2_500_000_000L;
     private static final long STEP = 10_000_000;
 
     private final Upstreams self;
--- a/sidecar/src/main/java/topazvalve/sidecar/config/Config.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/config/Config.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.ObjectReader;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -20,15 +19,15 @@
 import topazvalve.decisions.Options;
 import topazvalve.sidecar.admin.AdminServer;
 import topazvalve.sidecar.discovery.Listing;
+import topazvalve.sidecar.json.Json;
 import topazvalve.sidecar.net.Addresses;
 
 /** What one sidecar is told, checked whole; a mistake is an exception whose message names the key. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress admin,
         InetSocketAddress discovery, long seed, int sockets, Listing known, Options options, JsonNode root) {
     private static final Logger LOG = LoggerFactory.getLogger("sidecar");
-    private static final ObjectMapper JSON = new ObjectMapper();
     /** A file that is cut short or pasted together must not pass for what its first part says. */
-    private static final ObjectReader STRICT = JSON.reader()
+    private static final ObjectReader STRICT = Json.MAPPER.reader()
             .with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .with(StreamReadFeature.STRICT_DUPLICATE_DETECTION);
     /** Settings that the module, or what it knows, can't change while it runs. */
--- a/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
@@ -1,7 +1,6 @@
 package topazvalve.sidecar.discovery;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -34,11 +33,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.sidecar.json.Json;
 
 /** Asks discovery for the list: a watch on its changes, or the whole once. The module decides when. */
 public final class Discovery {
     private static final Logger LOG = LoggerFactory.getLogger("discovery");
-    private static final ObjectMapper JSON = new ObjectMapper();
     /** A call waits for up to 2 s and empty lines come every 2 s: longer silence is a break. */
     private static final long SILENCE_MS = 5_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
@@ -217,7 +216,7 @@
         }
 
         private void take() throws IOException {
-            JsonNode node = JSON.readTree(line.toByteArray());
+            JsonNode node = Json.MAPPER.readTree(line.toByteArray());
             line.reset();
             if (!node.path("rev").isIntegralNumber() || !node.path("targets").isArray()) {
                 fail();
--- a/sidecar/src/main/java/topazvalve/sidecar/upstream/LoadReport.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/upstream/LoadReport.java
@@ -2,9 +2,9 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
+import topazvalve.sidecar.json.Json;
 
 /**
  * The load reports of a deployment: the names of their values, in the order that the settings give, and how
@@ -13,7 +13,6 @@
 final class LoadReport {
     static final String PATH = "/metrics/load";
     static final float[] NONE = {};
-    private static final ObjectMapper JSON = new ObjectMapper();
 
     private final List<String> fields;
 
@@ -36,7 +35,7 @@
             return NONE;
         }
         try {
-            JsonNode node = JSON.readTree(text);
+            JsonNode node = Json.MAPPER.readTree(text);
             float[] values = new float[fields.size()];
             for (int i = 0; i < values.length; i++) {
                 JsonNode value = node.path(fields.get(i));
--- a/world/src/main/java/topazvalve/world/model/FaultPlayer.java
+++ b/world/src/main/java/topazvalve/world/model/FaultPlayer.java
@@ -95,7 +95,7 @@
             }
             case VANISH -> stop(fault, chance, true);
             case RESTART -> stop(fault, chance, false);
-            case REPLACE -> {
+            case REPLACE, REPLACE_IN_PLACE -> {
                 struck(fault, chance).forEach(old -> replace(fault, old));
                 later(fault, () -> { });
             }
@@ -167,7 +167,7 @@
         old.remove();
         stage.directory().happened(old, State.GONE, false);
         stage.clock().at(stage.clock().now() + Math.max(SHORTEST_STOP, fault.length()), () -> {
-            OrderServer fresh = stage.replace(old);
+            OrderServer fresh = stage.replace(old, fault.kind() == Fault.Kind.REPLACE_IN_PLACE);
             fresh.start();
             stage.directory().happened(fresh, State.READY, false);
         });
--- a/world/src/main/java/topazvalve/world/model/Stage.java
+++ b/world/src/main/java/topazvalve/world/model/Stage.java
@@ -25,8 +25,8 @@
     /** Kills an instance and starts it anew. */
     void restartInstance(int number);
 
-    /** A server under a new id takes another's place. */
-    OrderServer replace(OrderServer old);
+    /** A server under a new id takes another's place, at its address or at another one. */
+    OrderServer replace(OrderServer old, boolean sameAddress);
 
     /** Something has begun or ended, for the record. */
     void note(String what);
--- a/world/src/main/java/topazvalve/world/real/RealWorld.java
+++ b/world/src/main/java/topazvalve/world/real/RealWorld.java
@@ -125,6 +125,9 @@
      */
     public Run play(BiConsumer<Tally.Second, String> eachSecond) throws IOException, InterruptedException {
         Files.createDirectories(folder);
+        // Whoever ends this process must not leave sidecars behind.
+        Thread hook = new Thread(() -> sidecars.forEach(SidecarProcess::kill));
+        Runtime.getRuntime().addShutdownHook(hook);
         try {
             open();
             startSidecars();
@@ -159,6 +162,16 @@
                     System.nanoTime() - began, attemptsByServer));
         } finally {
             close();
+            forget(hook);
+        }
+    }
+
+    private static void forget(Thread hook) {
+        try {
+            Runtime.getRuntime().removeShutdownHook(hook);
+        } catch (IllegalStateException e) {
+            // The process is ending: the hook is running already.
+            Thread.yield();
         }
     }
 
@@ -172,7 +185,7 @@
             for (OrderServer each : fleet.servers()) {
                 CompletableFuture<Void> opened = new CompletableFuture<>();
                 open.add(opened);
-                introduce(each, () -> opened.complete(null));
+                introduce(each, ServerStand.ANY, () -> opened.complete(null));
             }
             return null;
         });
@@ -188,12 +201,12 @@
         }
     }
 
-    private void introduce(OrderServer server, Runnable open) {
+    private void introduce(OrderServer server, InetSocketAddress where, Runnable open) {
         server.onFallen((fallen, informed) -> {
             oracle.fell(fallen.id(), informed, elapsed());
             note("server " + fallen.id() + " was pushed over while cold");
         });
-        stands.put(server.id(), ServerStand.open(loop, this, server, open));
+        stands.put(server.id(), ServerStand.open(loop, this, server, where, open));
     }
 
     private void startSidecars() throws IOException, InterruptedException {
@@ -391,9 +404,9 @@
     }
 
     @Override
-    public OrderServer replace(OrderServer old) {
+    public OrderServer replace(OrderServer old, boolean sameAddress) {
         OrderServer fresh = fleet.replace(old);
-        introduce(fresh, () -> { });
+        introduce(fresh, sameAddress ? stands.get(old.id()).address() : ServerStand.ANY, () -> { });
         return fresh;
     }
 
--- a/world/src/main/java/topazvalve/world/real/ServerStand.java
+++ b/world/src/main/java/topazvalve/world/real/ServerStand.java
@@ -35,6 +35,8 @@
  * and closes nothing; loopback can't keep the kernel from completing handshakes on its behalf.
  */
 final class ServerStand {
+    /** Loopback, on a port that the system picks. */
+    static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     private static final int LARGEST = 1 << 20;
     private static final double PROBE_WORK = 130_000;
     private static final long LOOK_MS = 20;
@@ -54,24 +56,24 @@
         loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Opens one on a free port; on the loop. {@code open} is told once it listens. */
-    static ServerStand open(EventLoop loop, RealWorld world, OrderServer server, Runnable open) {
+    /** Opens one at an address, or at {@link #ANY}; on the loop. {@code open} is told once it listens. */
+    static ServerStand open(EventLoop loop, RealWorld world, OrderServer server, InetSocketAddress where,
+            Runnable open) {
         ServerStand stand = new ServerStand(loop, world, server);
-        ChannelFuture bound = stand.bootstrap().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(),
-                0));
+        ChannelFuture bound = stand.bootstrap().bind(where);
         stand.listening = bound.channel();
         bound.addListener(done -> {
             if (!done.isSuccess()) {
-                throw new IllegalStateException("no socket for a server", done.cause());
+                world.note("no socket for server " + server.id() + " at " + where + ": " + done.cause());
             }
-            stand.address = (InetSocketAddress) bound.channel().localAddress();
+            stand.address = done.isSuccess() ? (InetSocketAddress) bound.channel().localAddress() : where;
             open.run();
         });
         return stand;
     }
 
-    OrderServer server() {
-        return server;
+    InetSocketAddress address() {
+        return address;
     }
 
     String endpoint() {
@@ -249,9 +251,8 @@
 
         @Override
         protected void served(boolean good, boolean spoilt) {
-            if (spoilt) {
-                back(() -> channel.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 2OO ?\r\n\u0000\u0001noise",
-                        StandardCharsets.ISO_8859_1)));
+            if (good && spoilt) {
+                spoil(sent.trace().id() % 3);
                 return;
             }
             if (good) {
@@ -262,6 +263,25 @@
                     good ? RealClients.bodyOf(id) : "", false));
         }
 
+        /** It has run, but what goes back is noise, or cut, or comes twice. */
+        private void spoil(long how) {
+            if (how == 0) {
+                back(() -> channel.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 2OO ?\r\n\u0000\u0001noise",
+                        StandardCharsets.ISO_8859_1)));
+            } else if (how == 1) {
+                back(() -> channel.writeAndFlush(Unpooled.copiedBuffer(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\ndone:", StandardCharsets.ISO_8859_1))
+                        .addListener(done -> channel.close()));
+            } else {
+                world.oracle().served(sent.trace());
+                back(() -> {
+                    answer(channel, HttpResponseStatus.OK, RealClients.bodyOf(id), false);
+                    channel.writeAndFlush(Unpooled.copiedBuffer(
+                            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore", StandardCharsets.ISO_8859_1));
+                });
+            }
+        }
+
         @Override
         protected void declined() {
             turnedAway = true;
--- a/world/src/main/java/topazvalve/world/real/SidecarProcess.java
+++ b/world/src/main/java/topazvalve/world/real/SidecarProcess.java
@@ -74,7 +74,9 @@
     }
 
     void kill() {
-        process.destroyForcibly();
+        if (process != null) {
+            process.destroyForcibly();
+        }
     }
 
     /** Ends it in order, and by force if that takes longer than it may. */
--- a/world/src/main/java/topazvalve/world/scenario/Fault.java
+++ b/world/src/main/java/topazvalve/world/scenario/Fault.java
@@ -30,6 +30,8 @@
         RESTART,
         /** Servers are gone; others under new ids stand in for them, cold. */
         REPLACE,
+        /** The same, at the addresses of those that are gone. */
+        REPLACE_IN_PLACE,
         /** The list says draining; after the length they start cold. */
         DRAIN,
         /** Clients ask {@code size} times as much. */
--- a/world/src/main/java/topazvalve/world/virtual/VirtualWorld.java
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualWorld.java
@@ -182,7 +182,7 @@
     }
 
     @Override
-    public OrderServer replace(OrderServer old) {
+    public OrderServer replace(OrderServer old, boolean sameAddress) {
         OrderServer fresh = fleet.replace(old);
         introduce(fresh);
         return fresh;
--- /dev/null
+++ b/world/src/test/java/topazvalve/world/virtual/VirtualClockTest.java
@@ -0,0 +1,78 @@
+package topazvalve.world.virtual;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import net.jqwik.api.constraints.Size;
+
+/** The wheel and the rings against the plainest thing that could be right. */
+class VirtualClockTest {
+    private static final long START = 1_000_000_000_000L;
+
+    /** Events, some of which make further ones, run in order of time and then of making. */
+    @Property(tries = 300, seed = "42")
+    void eventsRunInOrder(@ForAll @Size(max = 60) List<@LongRange(min = 0,
+            max = 5_000_000_000L) Long> delays) {
+        VirtualClock clock = new VirtualClock(START);
+        List<String> ran = new ArrayList<>();
+        for (int i = 0; i < delays.size(); i++) {
+            long delay = delays.get(i);
+            String name = "e" + i;
+            clock.at(START + delay, () -> {
+                ran.add(name + "@" + (clock.now() - START));
+                clock.at(clock.now() + delay / 2, () -> ran.add(name + "b@" + (clock.now() - START)));
+            });
+        }
+        clock.runUntil(START + 10_000_000_000L);
+        // The reference: repeatedly the earliest, and among equals the one made first.
+        List<String> right = new ArrayList<>();
+        record Due(long at, long serial, String name, long again) { }
+        TreeSet<Due> due = new TreeSet<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
+                : Long.compare(a.serial, b.serial));
+        long serial = 0;
+        for (int i = 0; i < delays.size(); i++) {
+            due.add(new Due(delays.get(i), serial++, "e" + i, delays.get(i) / 2));
+        }
+        while (!due.isEmpty()) {
+            Due first = due.pollFirst();
+            right.add(first.name + "@" + first.at);
+            if (first.again >= 0) {
+                due.add(new Due(first.at + first.again, serial++, first.name + "b", -1));
+            }
+        }
+        assertEquals(right, ran);
+    }
+
+    /** What is taken off in time is never due; the rest is due once, at its time, in order. */
+    @Property(tries = 300, seed = "42")
+    void aRingTellsWhatIsLeft(@ForAll @Size(max = 80) List<@LongRange(min = 1,
+            max = 400_000_000L) Long> gaps) {
+        VirtualClock clock = new VirtualClock(START);
+        List<String> due = new ArrayList<>();
+        DelayLine<String> line = new DelayLine<>(clock, 300_000_000, name ->
+                due.add(name + "@" + (clock.now() - START)));
+        List<String> right = new ArrayList<>();
+        long at = 0;
+        for (int i = 0; i < gaps.size(); i++) {
+            at += gaps.get(i);
+            String name = "t" + i;
+            boolean taken = gaps.get(i) % 3 == 0;
+            clock.at(START + at, () -> {
+                long number = line.add(name);
+                if (taken) {
+                    clock.at(clock.now() + 200_000_000, () -> line.remove(number));
+                }
+            });
+            if (!taken) {
+                right.add(name + "@" + (at + 300_000_000));
+            }
+        }
+        clock.runUntil(START + at + 1_000_000_000);
+        assertEquals(right, due);
+    }
+}
