--- a/world/src/main/java/topazvalve/world/model/Stage.java
+++ b/world/src/main/java/topazvalve/world/model/Stage.java
@@ -7,20 +7,8 @@
     /** The clock. */
     Clock clock();
 
-    /** The servers that are there now. */
-    List<OrderServer> servers();
-
-    /** How many instances there are. */
-    int instanceCount();
-
-    /** What discovery knows. */
-    Directory directory();
-
-    /** The links to the servers. */
-    Link link();
-
-    /** From now on clients ask so many times as much. */
-    void overload(double times);
+    /** What stands on it. */
+    Scene scene();
 
     /** Kills an instance and starts it anew. */
     void restartInstance(int number);
@@ -30,4 +18,29 @@
 
     /** Something has begun or ended, for the record. */
     void note(String what);
+
+    /** The servers that are there now. */
+    default List<OrderServer> servers() {
+        return scene().fleet().servers();
+    }
+
+    /** How many instances there are. */
+    default int instanceCount() {
+        return scene().scenario().fleet().instances();
+    }
+
+    /** What discovery knows. */
+    default Directory directory() {
+        return scene().directory();
+    }
+
+    /** The links to the servers. */
+    default Link link() {
+        return scene().link();
+    }
+
+    /** From now on clients ask so many times as much. */
+    default void overload(double times) {
+        scene().rhythm().overload(times);
+    }
 }
--- a/world/src/main/java/topazvalve/world/real/RealWorld.java
+++ b/world/src/main/java/topazvalve/world/real/RealWorld.java
@@ -25,13 +25,10 @@
 import topazvalve.decisions.Balancer.State;
 import topazvalve.world.model.Chance;
 import topazvalve.world.model.Clock;
-import topazvalve.world.model.Directory;
 import topazvalve.world.model.Directory.Entry;
 import topazvalve.world.model.FaultPlayer;
-import topazvalve.world.model.Fleet;
-import topazvalve.world.model.Link;
 import topazvalve.world.model.OrderServer;
-import topazvalve.world.model.Rhythm;
+import topazvalve.world.model.Scene;
 import topazvalve.world.model.Stage;
 import topazvalve.world.oracle.Oracle;
 import topazvalve.world.oracle.Oracle.Answer;
@@ -52,7 +49,6 @@
     private static final long FLIGHT = 50_000_000;
     private static final long START_LIMIT_S = 30;
     private static final long LEAD = 100_000_000;
-    private static final int NOTES = 500;
 
     private final Scenario scenario;
     private final long seed;
@@ -65,19 +61,15 @@
     private final Oracle oracle;
     private final Tally tally;
     private final Traces traces = new Traces();
-    private final Link link;
-    private final Rhythm rhythm;
     private final Chance noise;
     private final Chance spread;
     private final Chance restarts;
-    private final Directory directory;
-    private final Fleet fleet;
+    private final Scene scene;
     private final Map<Long, ServerStand> stands = new HashMap<>();
     private final List<SidecarProcess> sidecars = new ArrayList<>();
     private final List<Integer> discoveryPorts = new ArrayList<>();
     private final Map<Integer, Long> killedAt = new HashMap<>();
     private final Map<Long, Long> toldStarts = new HashMap<>();
-    private final List<String> notes = new ArrayList<>();
     private final List<String> now = new ArrayList<>();
     private final CRC32C digest = new CRC32C();
     private DiscoveryStand discovery;
@@ -98,14 +90,11 @@
         this.folder = folder;
         this.oracle = new Oracle(scenario.limits(), TOLERANCE, FLIGHT + 4 * scenario.network().crossZone());
         this.tally = new Tally(scenario);
-        this.link = new Link(scenario.network(), Chance.stream(seed, "link"));
-        this.rhythm = new Rhythm(scenario.load(), Chance.stream(seed, "rhythm"));
         this.noise = Chance.stream(seed, "noise");
         this.spread = Chance.stream(seed, "spread");
         this.restarts = Chance.stream(seed, "restarts");
-        this.directory = new Directory(clock, scenario.news(), Chance.stream(seed, "directory"));
-        this.fleet = onLoop(() -> new Fleet(scenario, clock, seed));
-        this.attemptsByServer = new long[4 * fleet.servers().size() + 64];
+        this.scene = onLoop(() -> new Scene(scenario, clock, seed));
+        this.attemptsByServer = new long[4 * servers().size() + 64];
     }
 
     private <T> T onLoop(java.util.concurrent.Callable<T> what) {
@@ -136,7 +125,7 @@
                 start = clock.now() + LEAD;
                 clock.at(start, () -> { });
                 List<Fault> played = FaultPlayer.play(this, scenario, seed);
-                new RealClients(this, loop, seed, rhythm).start();
+                new RealClients(this, loop, seed, scene.rhythm()).start();
                 return played;
             });
             int seconds = (int) (scenario.length() / 1_000_000_000L);
@@ -158,7 +147,7 @@
                 }
             }
             return onLoop(() -> new Run(scenario.name(), "sidecar", seed, tally, oracle.counts(),
-                    oracle.breaches(), faults, List.copyOf(notes), digest.getValue(), requests, 0,
+                    oracle.breaches(), faults, scene.notes(), digest.getValue(), requests, 0,
                     System.nanoTime() - began, attemptsByServer));
         } finally {
             close();
@@ -182,7 +171,7 @@
     private void open() throws InterruptedException {
         List<CompletableFuture<Void>> open = new ArrayList<>();
         onLoop(() -> {
-            for (OrderServer each : fleet.servers()) {
+            for (OrderServer each : servers()) {
                 CompletableFuture<Void> opened = new CompletableFuture<>();
                 open.add(opened);
                 introduce(each, ServerStand.ANY, () -> opened.complete(null));
@@ -191,7 +180,7 @@
         });
         open.forEach(CompletableFuture::join);
         onLoop(() -> {
-            fleet.servers().forEach(directory::list);
+            servers().forEach(directory()::list);
             discovery = new DiscoveryStand(loop, this, scenario.news());
             return null;
         });
@@ -306,7 +295,7 @@
 
     /** One way between an instance and a server, beyond what loopback takes. */
     long way(int instance, OrderServer server) {
-        return link.delay(instance % scenario.fleet().zones().size() != server.pod().zone());
+        return link().delay(instance % scenario.fleet().zones().size() != server.pod().zone());
     }
 
     long newsDelay() {
@@ -360,28 +349,8 @@
     }
 
     @Override
-    public List<OrderServer> servers() {
-        return fleet.servers();
-    }
-
-    @Override
-    public int instanceCount() {
-        return scenario.fleet().instances();
-    }
-
-    @Override
-    public Directory directory() {
-        return directory;
-    }
-
-    @Override
-    public Link link() {
-        return link;
-    }
-
-    @Override
-    public void overload(double times) {
-        rhythm.overload(times);
+    public Scene scene() {
+        return scene;
     }
 
     /** Killed outright and started at once; what it held has no answer. */
@@ -389,13 +358,13 @@
     public void restartInstance(int number) {
         killedAt.put(number, elapsed());
         sidecars.get(number).kill();
-        fleet.servers().forEach(each -> oracle.readyTold(number, each.id()));
+        servers().forEach(each -> oracle.readyTold(number, each.id()));
         ObjectNode known = discovery.known();
         long fresh = restarts.any();
         loop.schedule(() -> {
             try {
                 sidecars.get(number).start(scenario, discoveryPorts.get(number), known, fresh);
-                directory.all().stream().filter(each -> each.state() != State.READY)
+                directory().all().stream().filter(each -> each.state() != State.READY)
                         .forEach(each -> oracle.drainTold(number, each.server().id(), elapsed()));
             } catch (IOException e) {
                 note("sidecar " + number + " could not be started again: " + e.getMessage());
@@ -405,16 +374,14 @@
 
     @Override
     public OrderServer replace(OrderServer old, boolean sameAddress) {
-        OrderServer fresh = fleet.replace(old);
+        OrderServer fresh = scene.fleet().replace(old);
         introduce(fresh, sameAddress ? stands.get(old.id()).address() : ServerStand.ANY, () -> { });
         return fresh;
     }
 
     @Override
     public void note(String what) {
-        if (notes.size() < NOTES) {
-            notes.add(elapsed() / 1_000_000 + " ms: " + what);
-        }
+        scene.note(elapsed(), what);
         if (what.startsWith("begins: ")) {
             now.add(what.substring(8));
         } else if (what.startsWith("ends: ")) {
--- a/world/src/main/java/topazvalve/world/virtual/VirtualWorld.java
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualWorld.java
@@ -9,12 +9,9 @@
 import topazvalve.decisions.Balancer.State;
 import topazvalve.world.model.Chance;
 import topazvalve.world.model.Clock;
-import topazvalve.world.model.Directory;
 import topazvalve.world.model.FaultPlayer;
-import topazvalve.world.model.Fleet;
-import topazvalve.world.model.Link;
 import topazvalve.world.model.OrderServer;
-import topazvalve.world.model.Rhythm;
+import topazvalve.world.model.Scene;
 import topazvalve.world.model.Stage;
 import topazvalve.world.oracle.Oracle;
 import topazvalve.world.oracle.Oracle.Answer;
@@ -27,7 +24,6 @@
 public final class VirtualWorld implements Stage {
     /** A start far from 0, since a server that started at 0 counts as started long ago. */
     private static final long START = 1_000_000_000_000L;
-    private static final int NOTES = 500;
     private static final double IDLE_SHARE = 0.9;
 
     private final Scenario scenario;
@@ -36,11 +32,8 @@
     private final VirtualClock clock = new VirtualClock(START);
     private final Oracle oracle;
     private final Tally tally;
-    private final Fleet fleet;
-    private final Directory directory;
+    private final Scene scene;
     private final VirtualDiscovery discovery;
-    private final Link link;
-    private final Rhythm rhythm;
     private final Chance noise;
     private final Chance restarts;
     private final List<VirtualInstance> instances = new ArrayList<>();
@@ -49,7 +42,6 @@
     private final long keepIdle;
     private final CRC32C digest = new CRC32C();
     private final ByteBuffer digested = ByteBuffer.allocate(24);
-    private final List<String> notes = new ArrayList<>();
     private long[] attemptsByServer;
 
     /** Sets the scene. */
@@ -64,16 +56,13 @@
         this.seed = seed;
         this.oracle = new Oracle(scenario.limits(), 0, flight(scenario));
         this.tally = new Tally(scenario);
-        this.fleet = new Fleet(scenario, clock, seed);
-        this.attemptsByServer = new long[fleet.servers().size() + 1];
-        this.directory = new Directory(clock, scenario.news(), Chance.stream(seed, "directory"));
-        this.link = new Link(scenario.network(), Chance.stream(seed, "link"));
-        this.rhythm = new Rhythm(scenario.load(), Chance.stream(seed, "rhythm"));
+        this.scene = new Scene(scenario, clock, seed);
+        this.attemptsByServer = new long[servers().size() + 1];
         this.noise = Chance.stream(seed, "noise");
         this.restarts = Chance.stream(seed, "restarts");
-        fleet.servers().forEach(this::introduce);
-        fleet.servers().forEach(directory::list);
-        this.discovery = new VirtualDiscovery(clock, scenario.news(), directory, oracle,
+        servers().forEach(this::introduce);
+        servers().forEach(directory()::list);
+        this.discovery = new VirtualDiscovery(clock, scenario.news(), directory(), oracle,
                 Chance.stream(seed, "discovery"), instances);
         this.keepIdle = (long) (scenario.machines().stream().mapToLong(each -> each.idleClose()).min()
                 .orElseThrow() * IDLE_SHARE);
@@ -84,7 +73,7 @@
         for (int i = 0; i < scenario.fleet().instances(); i++) {
             instances.add(make.apply(i));
         }
-        this.clients = new VirtualClients(this, seed, rhythm);
+        this.clients = new VirtualClients(this, seed, scene.rhythm());
     }
 
     /** Makes a sidecar for a test. */
@@ -126,7 +115,7 @@
         clock.runUntil(end() + 2 * rest + scenario.clients().maxRetryAfter()
                 + scenario.limits().answerSlack());
         return new Run(scenario.name(), arm.name(), seed, tally, oracle.counts(), oracle.breaches(),
-                faults, List.copyOf(notes), digest.getValue(), oracle.requests(), clock.fired(),
+                faults, scene.notes(), digest.getValue(), oracle.requests(), clock.fired(),
                 System.nanoTime() - began, attemptsByServer);
     }
 
@@ -135,7 +124,7 @@
             discovery.follow(instance);
         }
         instance.start(arm.policy().make(arm.settings(scenario, instance.number(), zone(instance.number())),
-                restarts.any(), instance), directory.all(), directory.revision());
+                restarts.any(), instance), directory().all(), directory().revision());
     }
 
     // What parts of the world ask of it.
@@ -146,28 +135,8 @@
     }
 
     @Override
-    public List<OrderServer> servers() {
-        return fleet.servers();
-    }
-
-    @Override
-    public int instanceCount() {
-        return instances.size();
-    }
-
-    @Override
-    public Directory directory() {
-        return directory;
-    }
-
-    @Override
-    public Link link() {
-        return link;
-    }
-
-    @Override
-    public void overload(double times) {
-        rhythm.overload(times);
+    public Scene scene() {
+        return scene;
     }
 
     @Override
@@ -175,24 +144,22 @@
         VirtualInstance instance = instances.get(number);
         instance.kill();
         discovery.forget(number);
-        fleet.servers().forEach(each -> oracle.readyTold(number, each.id()));
+        servers().forEach(each -> oracle.readyTold(number, each.id()));
         begin(instance);
-        directory.all().stream().filter(each -> each.state() != State.READY)
+        directory().all().stream().filter(each -> each.state() != State.READY)
                 .forEach(each -> oracle.drainTold(number, each.server().id(), elapsed()));
     }
 
     @Override
     public OrderServer replace(OrderServer old, boolean sameAddress) {
-        OrderServer fresh = fleet.replace(old);
+        OrderServer fresh = scene.fleet().replace(old);
         introduce(fresh);
         return fresh;
     }
 
     @Override
     public void note(String what) {
-        if (notes.size() < NOTES) {
-            notes.add(elapsed() / 1_000_000 + " ms: " + what);
-        }
+        scene.note(elapsed(), what);
     }
 
     Scenario scenario() {
