--- a/world/src/main/java/topazvalve/world/measure/Launch.java
+++ b/world/src/main/java/topazvalve/world/measure/Launch.java
@@ -4,14 +4,13 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import topazvalve.world.process.RunLine;
 
 /** One sidecar process of the deploy file's {@code run} line, on one core where the system can pin it. */
 final class Launch {
@@ -48,21 +47,10 @@
     /** Starts it; {@code core} below 0 pins it to none. */
     static Launch of(Path home, Path folder, ObjectNode config, int core) throws IOException {
         Files.createDirectories(folder);
-        int port;
-        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = any.getLocalPort();
-        }
+        int port = RunLine.freePort();
         Path file = folder.resolve("measured.json");
         Files.writeString(file, config.put("listen", "127.0.0.1:" + port).toString());
-        String run = Files.readAllLines(home.resolve("deploy/balancer.toml")).stream()
-                .filter(each -> each.startsWith("run = \"")).findFirst()
-                .map(each -> each.substring(each.indexOf('"') + 1, each.lastIndexOf('"'))).orElseThrow();
-        ProcessBuilder builder = new ProcessBuilder(pinned(core, "/bin/sh", "-c",
-                run)).directory(home.toFile());
-        builder.environment().put("PROXY_CONFIG", file.toAbsolutePath().toString());
-        builder.environment().remove("PROXY_FD");
-        builder.environment().remove("PROXY_ADMIN");
-        return new Launch(builder.redirectErrorStream(true).start(), port);
+        return new Launch(RunLine.of(home, file, pinned(core)).start(), port);
     }
 
     /** A command on one core, by util-linux' {@code taskset}. */
--- a/world/src/main/java/topazvalve/world/model/Directory.java
+++ b/world/src/main/java/topazvalve/world/model/Directory.java
@@ -70,11 +70,6 @@
         followers.add(follower);
     }
 
-    /** Follows no more. */
-    public void leave(Consumer<Entry> follower) {
-        followers.remove(follower);
-    }
-
     /** All lines. */
     public List<Entry> all() {
         return List.copyOf(entries.values());
--- a/world/src/main/java/topazvalve/world/model/Fleet.java
+++ b/world/src/main/java/topazvalve/world/model/Fleet.java
@@ -62,9 +62,4 @@
         servers.set(servers.indexOf(old), fresh);
         return fresh;
     }
-
-    /** How many ids have been given out. */
-    public long lastId() {
-        return lastId;
-    }
 }
--- a/world/src/main/java/topazvalve/world/real/RealWorld.java
+++ b/world/src/main/java/topazvalve/world/real/RealWorld.java
@@ -48,7 +48,6 @@
     private static final long TOLERANCE = 50_000_000;
     private static final long FLIGHT = 50_000_000;
     private static final long START_LIMIT_S = 30;
-    private static final long LEAD = 100_000_000;
 
     private final Scenario scenario;
     private final long seed;
@@ -122,8 +121,7 @@
             startSidecars();
             long began = System.nanoTime();
             List<Fault> faults = onLoop(() -> {
-                start = clock.now() + LEAD;
-                clock.at(start, () -> { });
+                start = clock.now();
                 List<Fault> played = FaultPlayer.play(this, scenario, seed);
                 new RealClients(this, loop, seed, scene.rhythm()).start();
                 return played;
@@ -131,7 +129,7 @@
             int seconds = (int) (scenario.length() / 1_000_000_000L);
             for (int i = 0; i < seconds; i++) {
                 int second = i;
-                long until = began + LEAD + (i + 2) * 1_000_000_000L;
+                long until = began + (i + 2) * 1_000_000_000L;
                 TimeUnit.NANOSECONDS.sleep(Math.max(0, until - System.nanoTime()));
                 Map.Entry<Tally.Second, String> seen = onLoop(() -> Map.entry(tally.second(second),
                         wrongNow()));
--- a/world/src/main/java/topazvalve/world/real/SidecarProcess.java
+++ b/world/src/main/java/topazvalve/world/real/SidecarProcess.java
@@ -5,12 +5,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import topazvalve.world.process.RunLine;
 import topazvalve.world.scenario.Scenario;
 import topazvalve.world.scenario.WorkClass;
 
@@ -28,14 +27,8 @@
         this.home = home;
         this.folder = folder;
         this.name = "n" + number;
-        this.port = freePort();
-        this.adminPort = freePort();
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return any.getLocalPort();
-        }
+        this.port = RunLine.freePort();
+        this.adminPort = RunLine.freePort();
     }
 
     /** Where clients connect. */
@@ -51,16 +44,8 @@
     void start(Scenario scenario, int discoveryPort, ObjectNode known, long seed) throws IOException {
         Path file = folder.resolve(name + ".json");
         Files.writeString(file, config(scenario, discoveryPort, known, seed).toString());
-        String run = Files.readAllLines(home.resolve("deploy/balancer.toml")).stream()
-                .filter(each -> each.startsWith("run = \"")).findFirst()
-                .map(each -> each.substring(each.indexOf('"') + 1, each.lastIndexOf('"')))
-                .orElseThrow(() -> new IOException("deploy/balancer.toml has no run line"));
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).directory(home.toFile());
-        builder.environment().put("PROXY_CONFIG", file.toString());
-        builder.environment().remove("PROXY_FD");
-        builder.environment().remove("PROXY_ADMIN");
         File log = folder.resolve(name + ".log").toFile();
-        process = builder.redirectErrorStream(true)
+        process = RunLine.of(home, file, List.of())
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start();
     }
 
@@ -68,11 +53,6 @@
         return process != null && process.isAlive();
     }
 
-    /** CPU that it has had so far; zero where the system does not say. */
-    Duration cpu() {
-        return process.info().totalCpuDuration().orElse(Duration.ZERO);
-    }
-
     void kill() {
         if (process != null) {
             process.destroyForcibly();
--- a/world/src/main/java/topazvalve/world/virtual/VirtualCall.java
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualCall.java
@@ -25,7 +25,6 @@
     int tries;
     int out;
     boolean over;
-    boolean gone;
     /** Its place in the line of those whose time will be over; -1 for none. */
     long expiry = -1;
 
--- a/world/src/main/java/topazvalve/world/virtual/VirtualInstance.java
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualInstance.java
@@ -180,7 +180,6 @@
     void hangup(VirtualCall call) {
         if (!call.over) {
             call.over = true;
-            call.gone = true;
             forget(call);
             tell(() -> balancer.hangup(now(), call.id));
         }
--- a/world/src/test/java/topazvalve/world/experiment/RunnerTest.java
+++ b/world/src/test/java/topazvalve/world/experiment/RunnerTest.java
@@ -70,8 +70,9 @@
         Path file = folder.resolve("report.html");
         Report.write(file, "a <title>", results);
         String html = Files.readString(file);
-        assertTrue(html.contains("a &lt;title&gt;") && html.contains("uPlot=function")
-                || html.contains("var uPlot"));
+        assertTrue(html.contains("<h1>a &lt;title&gt;</h1>"), "the title is text");
+        assertTrue(html.contains("var uPlot"), "the plotting library is in the file");
+        assertTrue(html.contains("class=\"plot\">{"), "so are the figures");
         assertFalse(html.matches("(?s).*(src|href)=\"[^\"]*\".*"), "refers to another file");
     }
 
