--- a/sidecar/src/main/java/topazvalve/sidecar/WarmUp.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/WarmUp.java
@@ -34,8 +34,8 @@
  * its own listeners, and an instance of the module that nobody hears decides for requests that do not exist.
  */
 final class WarmUp {
-    /** Fewer start sooner and cost the first seconds: 200 lost 0.02 of the upgrade and retune days. */
-    private static final int ROUNDS = 600;
+    /** As many calls as the JVM takes to compile a method. */
+    private static final int ROUNDS = 200;
     private static final long PATIENCE = 1_000_000_000;
     /** For all rounds together: on a crowded core a cold sidecar is better than a late one. */
     private static final long LONGEST = 2_500_000_000L;
--- a/sidecar/src/main/java/topazvalve/sidecar/classes/ClassTable.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/classes/ClassTable.java
@@ -22,6 +22,19 @@
         private static Identity of(String name, RequestClass rules) {
             return new Identity(name, rules.semantics(), rules.scope(), rules.keyTtl(), rules.stream());
         }
+
+        /** Written out, like equals: a record's own are linked at run time, 50 ms of CPU at each start. */
+        @Override
+        public int hashCode() {
+            return name.hashCode();
+        }
+
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Identity identity && name.equals(identity.name)
+                    && semantics == identity.semantics && scope == identity.scope
+                    && keyTtl == identity.keyTtl && stream == identity.stream;
+        }
     }
 
     private final Map<Identity, Integer> numbers = new HashMap<>();
--- a/sidecar/src/main/java/topazvalve/sidecar/config/Config.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/config/Config.java
@@ -1,16 +1,11 @@
 package topazvalve.sidecar.config;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.StreamReadFeature;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectReader;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.StringJoiner;
@@ -20,16 +15,13 @@
 import topazvalve.sidecar.admin.AdminServer;
 import topazvalve.sidecar.discovery.Listing;
 import topazvalve.sidecar.json.Json;
+import topazvalve.sidecar.json.Node;
 import topazvalve.sidecar.net.Addresses;
 
 /** What one sidecar is told, checked whole; a mistake is an exception whose message names the key. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress admin,
-        InetSocketAddress discovery, long seed, int sockets, Listing known, Options options, JsonNode root) {
+        InetSocketAddress discovery, long seed, int sockets, Listing known, Options options, Node root) {
     private static final Logger LOG = LoggerFactory.getLogger("sidecar");
-    /** A file that is cut short or pasted together must not pass for what its first part says. */
-    private static final ObjectReader STRICT = Json.MAPPER.reader()
-            .with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-            .with(StreamReadFeature.STRICT_DUPLICATE_DETECTION);
     /** Settings that the module, or what it knows, can't change while it runs. */
     private static final List<String> FIXED = List.of("discovery", "parties");
     private static final long MB = 1 << 20;
@@ -37,16 +29,17 @@
     private static final int FEWEST_SOCKETS = 64;
     private static final int RESERVED = 40;
 
+    /** A file that is cut short or pasted together must not pass for what its first part says. */
     public static Config read(Path file) throws IOException {
         try {
-            return of(STRICT.readTree(Files.readAllBytes(file)));
+            return of(Json.readStrictly(Files.readAllBytes(file)));
         } catch (JsonProcessingException e) {
             throw new IllegalArgumentException("not JSON: " + e.getOriginalMessage(), e);
         }
     }
 
-    public static Config of(JsonNode root) {
-        JsonNode settings = root.path("settings");
+    public static Config of(Node root) {
+        Node settings = root.path("settings");
         if (!settings.isObject()) {
             throw new IllegalArgumentException("missing: settings");
         }
@@ -59,21 +52,21 @@
         if (Set.copyOf(names).size() < names.size()) {
             throw new IllegalArgumentException("a name is given twice: settings.profiles");
         }
-        int sockets = root.path("limits").path("sockets").asInt(1024);
+        int sockets = (int) root.path("limits").path("sockets").asLong(1024);
         if (sockets < FEWEST_SOCKETS) {
             throw new IllegalArgumentException("too few: limits.sockets");
         }
-        Listing known = root.has("known") ? Listing.of(root.get("known"))
+        Listing known = root.has("known") ? Listing.of(root.path("known"))
                 : Listing.NONE;
         return new Config(root.path("name").asText("sidecar"), address(root, "listen"), admin(root),
                 address(root, "discovery"), seed(root), sockets, known, options, root);
     }
 
     /** What decides how long and how often is never guessed at. */
-    private static void requireNumbers(JsonNode settings) {
+    private static void requireNumbers(Node settings) {
         requireAboveNought(settings.path("caps"), "tryLimit", "caps.");
         int number = 0;
-        for (JsonNode profile : settings.path("profiles")) {
+        for (Node profile : settings.path("profiles")) {
             String path = "profiles." + number++ + ".";
             requireAboveNought(profile, "deadline", path);
             requireAboveNought(profile, "slo", path);
@@ -82,14 +75,14 @@
         }
     }
 
-    private static void requireAboveNought(JsonNode holder, String key, String path) {
-        JsonNode value = holder.path(key);
-        if (!value.isNumber() || value.asDouble() <= 0) {
+    private static void requireAboveNought(Node holder, String key, String path) {
+        Node value = holder.path(key);
+        if (!(value.asDouble(0) > 0)) {
             throw new IllegalArgumentException("not a number above 0: " + path + key);
         }
     }
 
-    private static void requireKeys(JsonNode holder, String path, Iterable<String> keys) {
+    private static void requireKeys(Node holder, String path, Iterable<String> keys) {
         for (String key : keys) {
             if (!holder.hasNonNull(key)) {
                 throw new IllegalArgumentException("missing: " + path + key);
@@ -114,11 +107,11 @@
     }
 
     /** Lists are not looked into: their entries come and go. */
-    private static void requireSameKeys(String path, JsonNode inForce, JsonNode next) {
-        for (Map.Entry<String, JsonNode> field : inForce.properties()) {
-            if (!field.getValue().isNull()) {
-                requireKeys(next, path, List.of(field.getKey()));
-                requireSameKeys(path + field.getKey() + ".", field.getValue(), next.get(field.getKey()));
+    private static void requireSameKeys(String path, Node inForce, Node next) {
+        for (String key : inForce.keys()) {
+            if (!inForce.path(key).isNull()) {
+                requireKeys(next, path, List.of(key));
+                requireSameKeys(path + key + ".", inForce.path(key), next.path(key));
             }
         }
     }
@@ -140,7 +133,7 @@
     }
 
     /** Where operators call: the file's word, else the environment's; null if nobody has said. */
-    private static InetSocketAddress admin(JsonNode root) {
+    private static InetSocketAddress admin(Node root) {
         if (root.has("admin")) {
             return address(root, "admin");
         }
@@ -155,7 +148,7 @@
         return address;
     }
 
-    private static InetSocketAddress address(JsonNode root, String key) {
+    private static InetSocketAddress address(Node root, String key) {
         InetSocketAddress address = Addresses.parse(root.path(key).asText(""));
         if (address == null) {
             throw new IllegalArgumentException("not an address and port: " + key);
@@ -163,7 +156,7 @@
         return address;
     }
 
-    private static long seed(JsonNode root) {
+    private static long seed(Node root) {
         try {
             return Long.parseUnsignedLong(root.path("seed").asText(), 16);
         } catch (NumberFormatException e) {
@@ -172,16 +165,16 @@
     }
 
     /** Writes a JSON tree as the path=value lines of the simulator's wire, which {@link Options} reads. */
-    private static void flatten(String path, JsonNode node, StringBuilder lines) {
+    private static void flatten(String path, Node node, StringBuilder lines) {
         if (node.isObject()) {
-            for (Map.Entry<String, JsonNode> field : node.properties()) {
-                String inner = path.isEmpty() ? field.getKey() : path + "." + field.getKey();
-                flatten(inner, field.getValue(), lines);
+            for (String key : node.keys()) {
+                flatten(path.isEmpty() ? key : path + "." + key, node.path(key), lines);
             }
-        } else if (node.isArray() && node.size() > 0 && node.get(0).isContainerNode()) {
+        } else if (node.isArray() && node.size() > 0 && node.iterator().next().size() > 0) {
             lines.append(path).append(".count=").append(node.size()).append('\n');
-            for (int i = 0; i < node.size(); i++) {
-                flatten(path + "." + i, node.get(i), lines);
+            int number = 0;
+            for (Node each : node) {
+                flatten(path + "." + number++, each, lines);
             }
         } else if (node.isArray()) {
             StringJoiner values = new StringJoiner(",");
--- a/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
@@ -1,6 +1,5 @@
 package topazvalve.sidecar.discovery;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -34,6 +33,7 @@
 import org.slf4j.LoggerFactory;
 import topazvalve.decisions.Balancer.ListKind;
 import topazvalve.sidecar.json.Json;
+import topazvalve.sidecar.json.Node;
 
 /** Asks discovery for the list: a watch on its changes, or the whole once. The module decides when. */
 public final class Discovery {
@@ -216,9 +216,9 @@
         }
 
         private void take() throws IOException {
-            JsonNode node = Json.MAPPER.readTree(line.toByteArray());
+            Node node = Json.read(line.toByteArray());
             line.reset();
-            if (!node.path("rev").isIntegralNumber() || !node.path("targets").isArray()) {
+            if (!node.path("rev").isWhole() || !node.path("targets").isArray()) {
                 fail();
                 return;
             }
--- a/sidecar/src/main/java/topazvalve/sidecar/discovery/Target.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/Target.java
@@ -1,10 +1,10 @@
 package topazvalve.sidecar.discovery;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import topazvalve.decisions.Balancer.State;
+import topazvalve.sidecar.json.Node;
 import topazvalve.sidecar.net.Addresses;
 
 /** One line of the list; names are still discovery's. */
@@ -13,7 +13,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("discovery");
 
     /** An entry, or null where it can't be understood. */
-    static Target of(JsonNode node) {
+    static Target of(Node node) {
         String uid = node.path("uid").asText("");
         State state = switch (node.path("state").asText()) {
             case "SERVING" -> State.READY;
@@ -27,7 +27,7 @@
             return null;
         }
         return new Target(uid, endpoint, node.path("az").asText(""), node.path("model").asText(""),
-                node.path("pod_group").asInt(), state, (float) node.path("capacity_hint").asDouble(1),
+                (int) node.path("pod_group").asLong(), state, (float) node.path("capacity_hint").asDouble(1),
                 node.path("boot_ms").asLong());
     }
 }
--- a/sidecar/src/main/java/topazvalve/sidecar/upstream/LoadReport.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/upstream/LoadReport.java
@@ -1,10 +1,10 @@
 package topazvalve.sidecar.upstream;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
 import topazvalve.sidecar.json.Json;
+import topazvalve.sidecar.json.Node;
 
 /**
  * The load reports of a deployment: the names of their values, in the order that the settings give, and how
@@ -35,14 +35,14 @@
             return NONE;
         }
         try {
-            JsonNode node = Json.MAPPER.readTree(text);
+            Node node = Json.read(text);
             float[] values = new float[fields.size()];
             for (int i = 0; i < values.length; i++) {
-                JsonNode value = node.path(fields.get(i));
+                Node value = node.path(fields.get(i));
                 if (!value.isNumber()) {
                     return NONE;
                 }
-                values[i] = value.floatValue();
+                values[i] = (float) value.asDouble(-1);
                 if (!(values[i] >= 0 && values[i] < Float.POSITIVE_INFINITY)) {
                     return NONE;
                 }
--- a/sidecar/src/test/java/topazvalve/sidecar/Bed.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/Bed.java
@@ -16,6 +16,7 @@
 import topazvalve.sidecar.admin.AdminServer;
 import topazvalve.sidecar.classes.ClassTable;
 import topazvalve.sidecar.config.Config;
+import topazvalve.sidecar.json.Json;
 import topazvalve.sidecar.engine.Engine;
 import topazvalve.sidecar.front.Frontend;
 import topazvalve.sidecar.lifecycle.Lifecycle;
@@ -44,7 +45,7 @@
     record Answer(int status, String head, String body) { }
 
     Bed(ObjectNode json) throws Exception {
-        Config config = Config.of(json);
+        Config config = config(json);
         ClassTable classes = new ClassTable();
         engine = new Engine(loop, config, MOST, metrics, classes);
         frontend = new Frontend(loop, engine, classes, config.options().names("parties"), MOST, lifecycle,
@@ -62,6 +63,10 @@
     }
 
     /** A configuration with classes look (safe), hold (keyed) and book (unsafe), and one tenant. */
+    static Config config(ObjectNode json) throws IOException {
+        return Config.of(Json.read(json.toString()));
+    }
+
     static ObjectNode json(Stub... upstreams) throws IOException {
         ObjectNode root = (ObjectNode) JSON.readTree("""
                 {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
--- a/sidecar/src/test/java/topazvalve/sidecar/ConfigTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/ConfigTest.java
@@ -21,7 +21,7 @@
 
     @Test
     void settingsReadAsOnTheSimulatorsWire() throws Exception {
-        Config config = Config.of(Bed.json());
+        Config config = Bed.config(Bed.json());
         Settings settings = config.options().settings();
         assertEquals(List.of("rate", "q"), settings.reportFields());
         assertEquals(Semantics.ONCE, settings.classes().get(2).semantics());
@@ -84,7 +84,7 @@
     /** Whatever a running sidecar has been told it must be told again: no default may creep in. */
     @Test
     void runningSidecarTakesNoFileThatMissesAKey() throws Exception {
-        Config inForce = Config.of(Bed.json());
+        Config inForce = Bed.config(Bed.json());
         inForce.requireFit(inForce);
         for (String at : List.of("/settings/caps/connIdle", "/settings/rules/askWithin", "/limits/cores",
                 "/settings/zones", "/known", "/name")) {
@@ -93,20 +93,20 @@
             String key = at.substring(slash + 1);
             ((ObjectNode) json.at(at.substring(0, slash))).remove(key);
             String message = assertThrows(IllegalArgumentException.class,
-                    () -> Config.of(json).requireFit(inForce)).getMessage();
+                    () -> Bed.config(json).requireFit(inForce)).getMessage();
             assertTrue(message.contains(key), message);
         }
         ObjectNode json = Bed.json();
         json.withObject("/settings").put("discovery", "subscribe");
-        Config other = Config.of(json);
+        Config other = Bed.config(json);
         assertThrows(IllegalArgumentException.class, () -> other.requireFit(inForce));
         json = Bed.json();
         json.withObject("/settings").withArray("/profiles").remove(0);
-        Config.of(json).requireFit(inForce);
+        Bed.config(json).requireFit(inForce);
     }
 
     private static void assertNames(String key, ObjectNode json) {
-        String message = assertThrows(IllegalArgumentException.class, () -> Config.of(json)).getMessage();
+        String message = assertThrows(IllegalArgumentException.class, () -> Bed.config(json)).getMessage();
         assertTrue(message.contains(key) && message.lines().count() == 1, message);
     }
 
--- a/sidecar/src/test/java/topazvalve/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/SidecarTest.java
@@ -299,7 +299,7 @@
             profiles.remove(1);
             profiles.addObject().put("name", "fresh").put("slo", 1_000_000_000L)
                     .put("deadline", 2_000_000_000L).put("semantics", "repeatable");
-            Config next = Config.of(json);
+            Config next = Bed.config(json);
             bed.loop.submit(() -> bed.engine.reconfigure(next)).sync();
             assertEquals(400, bed.ask(Bed.look("a")).status(), "an unsafe class takes no GET");
             assertEquals(400, bed.ask(Bed.post("hold", "Idempotency-Key: 1\r\n", "")).status(), "went");
