--- a/command/src/main/java/topazvalve/command/Experiments.java
+++ b/command/src/main/java/topazvalve/command/Experiments.java
@@ -21,7 +21,7 @@
 import topazvalve.world.experiment.Result;
 import topazvalve.world.experiment.Results;
 import topazvalve.world.experiment.Runner;
-import topazvalve.world.scenario.BadScenario;
+import topazvalve.toml.BadFile;
 import topazvalve.world.scenario.ExperimentFile;
 import topazvalve.world.scenario.Scenario;
 import topazvalve.world.virtual.Arm;
@@ -137,7 +137,7 @@
         ExperimentFile.Experiment read;
         try {
             read = ExperimentFile.read(file);
-        } catch (BadScenario e) {
+        } catch (BadFile e) {
             throw new BadInput(e.getMessage(), e);
         }
         List<Plan.Setting> scenarios = new ArrayList<>();
--- a/command/src/main/java/topazvalve/command/Input.java
+++ b/command/src/main/java/topazvalve/command/Input.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import topazvalve.world.scenario.BadScenario;
+import topazvalve.toml.BadFile;
 import topazvalve.world.scenario.Scenario;
 import topazvalve.world.scenario.ScenarioFile;
 
@@ -21,8 +21,8 @@
         requireFile(file);
         try {
             return ScenarioFile.read(file);
-        } catch (BadScenario | IOException e) {
-            throw new BadInput(e instanceof BadScenario ? e.getMessage() : file + ": " + e.getMessage(), e);
+        } catch (BadFile | IOException e) {
+            throw new BadInput(e instanceof BadFile ? e.getMessage() : file + ": " + e.getMessage(), e);
         }
     }
 }
--- a/sidecar/src/main/java/topazvalve/sidecar/classes/ClassTable.java
+++ b/core/src/main/java/topazvalve/core/classes/ClassTable.java
@@ -1,4 +1,4 @@
-package topazvalve.sidecar.classes;
+package topazvalve.core.classes;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/sidecar/src/main/java/topazvalve/sidecar/classes/package-info.java
+++ b/core/src/main/java/topazvalve/core/classes/package-info.java
@@ -1,2 +1,2 @@
 /** The classes of request, over every configuration that a sidecar has taken. */
-package topazvalve.sidecar.classes;
+package topazvalve.core.classes;
--- a/sidecar/src/main/java/topazvalve/sidecar/engine/Client.java
+++ b/core/src/main/java/topazvalve/core/exchange/Client.java
@@ -1,15 +1,14 @@
-package topazvalve.sidecar.engine;
+package topazvalve.core.exchange;
 
 import io.netty.buffer.ByteBuf;
-import topazvalve.sidecar.http.Answer;
-import topazvalve.sidecar.stream.Source;
+import topazvalve.core.stream.Source;
 
-/** Takes a request's one final answer: whole, or begun and then more, up to its end or a cut. */
-public interface Client {
-    void served(Answer answer);
+/** Takes an exchange's one final answer: whole, or begun and then more, up to its end or a cut. */
+public interface Client<A> {
+    void served(A answer);
 
-    /** Of an answer too large to be held, the first bytes; {@code length} is -1 where nobody has said. */
-    void begun(Answer first, long length, Source rest);
+    /** Of an answer too large to be held, the first part; {@code length} is -1 where nobody has said. */
+    void begun(A first, long length, Source rest);
 
     /** Takes over the buffer. */
     void more(ByteBuf bytes);
--- /dev/null
+++ b/core/src/main/java/topazvalve/core/exchange/Exchange.java
@@ -0,0 +1,133 @@
+package topazvalve.core.exchange;
+
+import java.util.ArrayList;
+import java.util.List;
+import topazvalve.core.exchange.Phase.Step;
+import topazvalve.core.metrics.ClassCounts;
+import topazvalve.core.pool.Attempt;
+import topazvalve.core.time.Time;
+
+/** One exchange: what was asked, its attempts, and where it is in its life. */
+final class Exchange<Q, A> {
+    final long id;
+    final Job<Q> job;
+    final Client<A> client;
+    final ClassCounts counts;
+    private final int tryLimit;
+    private final List<Attempt<Q, A>> attempts = new ArrayList<>(1);
+    private Phase phase = Phase.TAKEN;
+    private int out;
+    /** The attempt whose answer has begun, which from then on is the client's; -1 for none. */
+    private int answering = -1;
+    /** When the client gives up; never, until its body is whole. */
+    private long deadline = Long.MAX_VALUE;
+    private Time.Alarm giveUp;
+
+    Exchange(long id, Job<Q> job, Client<A> client, ClassCounts counts, int tryLimit) {
+        this.id = id;
+        this.job = job;
+        this.client = client;
+        this.counts = counts;
+        this.tryLimit = tryLimit;
+    }
+
+    Phase phase() {
+        return phase;
+    }
+
+    boolean open() {
+        return phase.open();
+    }
+
+    int out() {
+        return out;
+    }
+
+    /** The decision module is told of it now. */
+    void told() {
+        phase = phase.after(Step.TOLD, out);
+    }
+
+    /** The client's time runs from now on; {@code alarm} ends it if nobody else does. */
+    void startClock(long at, Time.Alarm alarm) {
+        deadline = at;
+        giveUp = alarm;
+    }
+
+    /** Nanoseconds until the client gives up. */
+    long left(long now) {
+        return deadline - now;
+    }
+
+    /** Whether an attempt that is ordered now may set out. */
+    boolean maySend(long now) {
+        return (phase == Phase.WAITING || phase == Phase.OUT) && now < deadline
+                && attempts.size() < tryLimit && job.body().repeatable();
+    }
+
+    /** An attempt is ordered; returns its number. What becomes of it is said by {@link #sent}. */
+    int ordered() {
+        out++;
+        phase = phase.after(Step.SENT, out);
+        attempts.add(null);
+        return attempts.size() - 1;
+    }
+
+    /** An ordered attempt is out. It may have ended within its sending. */
+    void sent(int number, Attempt<Q, A> attempt) {
+        attempts.set(number, attempt);
+    }
+
+    /** All attempts that were sent, ended ones too. */
+    List<Attempt<Q, A>> attempts() {
+        return attempts;
+    }
+
+    /** The answer of an attempt begins; false if it is not wanted any more. */
+    boolean begun(int number) {
+        if (phase != Phase.OUT) {
+            return false;
+        }
+        phase = phase.after(Step.BEGUN, out);
+        answering = number;
+        stopClock();
+        return true;
+    }
+
+    /** Whether the answer that the client has the beginning of is this attempt's. */
+    boolean answeredBy(int number) {
+        return phase == Phase.ANSWERING && answering == number;
+    }
+
+    /** An attempt has ended. */
+    void ended() {
+        out--;
+        phase = phase.after(Step.ENDED, out);
+    }
+
+    /** The client is owed nothing more: what is out is of no use. */
+    void answered() {
+        phase = phase.after(Step.ANSWERED, out);
+        stopClock();
+        job.body().discard();
+    }
+
+    /** The attempt whose answer was being passed on, or null. */
+    Attempt<Q, A> answering() {
+        return answering < 0 ? null : attempts.get(answering);
+    }
+
+    /** Whether nothing is owed to anybody any more, neither client nor module; then it is forgotten. */
+    boolean settled() {
+        if (phase == Phase.ANSWERED && out == 0) {
+            phase = phase.after(Step.SETTLED, out);
+        }
+        return phase == Phase.FORGOTTEN;
+    }
+
+    private void stopClock() {
+        if (giveUp != null) {
+            giveUp.cancel();
+        }
+    }
+}
--- a/sidecar/src/main/java/topazvalve/sidecar/lifecycle/Lifecycle.java
+++ b/core/src/main/java/topazvalve/core/lifecycle/Lifecycle.java
@@ -1,4 +1,4 @@
-package topazvalve.sidecar.lifecycle;
+package topazvalve.core.lifecycle;
 
 /**
  * Whether the sidecar takes clients. It does once it has started, unless it is a lame duck, which can be
--- a/sidecar/src/main/java/topazvalve/sidecar/lifecycle/package-info.java
+++ b/core/src/main/java/topazvalve/core/lifecycle/package-info.java
@@ -1,2 +1,2 @@
 /** Where a sidecar is between its start and its end: the one owner of that fact. */
-package topazvalve.sidecar.lifecycle;
+package topazvalve.core.lifecycle;
--- a/sidecar/src/main/java/topazvalve/sidecar/metrics/ClassCounts.java
+++ b/core/src/main/java/topazvalve/core/metrics/ClassCounts.java
@@ -1,4 +1,4 @@
-package topazvalve.sidecar.metrics;
+package topazvalve.core.metrics;
 
 /** One class's counts since the process started. */
 public final class ClassCounts {
--- a/sidecar/src/main/java/topazvalve/sidecar/metrics/Metrics.java
+++ b/core/src/main/java/topazvalve/core/metrics/Metrics.java
@@ -1,4 +1,4 @@
-package topazvalve.sidecar.metrics;
+package topazvalve.core.metrics;
 
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/sidecar/src/main/java/topazvalve/sidecar/metrics/package-info.java
+++ b/core/src/main/java/topazvalve/core/metrics/package-info.java
@@ -1,2 +1,2 @@
 /** What the sidecar has done, counted for its operators. */
-package topazvalve.sidecar.metrics;
+package topazvalve.core.metrics;
--- a/sidecar/src/main/java/topazvalve/sidecar/net/Addresses.java
+++ b/core/src/main/java/topazvalve/core/net/Addresses.java
@@ -1,4 +1,4 @@
-package topazvalve.sidecar.net;
+package topazvalve.core.net;
 
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
--- a/sidecar/src/main/java/topazvalve/sidecar/net/package-info.java
+++ b/core/src/main/java/topazvalve/core/net/package-info.java
@@ -1,2 +1,2 @@
 /** Addresses on the network. */
-package topazvalve.sidecar.net;
+package topazvalve.core.net;
--- /dev/null
+++ b/core/src/main/java/topazvalve/core/pool/Pool.java
@@ -0,0 +1,99 @@
+package topazvalve.core.pool;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import topazvalve.decisions.Balancer.Outcome;
+
+/** One server's connections; the least lately used idle one comes first. */
+final class Pool<Q, A> {
+    private final ArrayDeque<PooledConnection<Q, A>> idle = new ArrayDeque<>();
+    private final Set<Attempt<Q, A>> unwritten = new LinkedHashSet<>();
+    /** Every connection that is not closed. */
+    private final Set<PooledConnection<Q, A>> all = new LinkedHashSet<>();
+    private InetSocketAddress address;
+    private long startedMs;
+    private boolean ready;
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    boolean ready() {
+        return ready;
+    }
+
+    void listed(InetSocketAddress at, long started, boolean takesWork) {
+        if (!at.equals(address) || started > startedMs) {
+            address = at;
+            startedMs = started;
+            closeIdle();
+        }
+        if (takesWork) {
+            ready = true;
+        } else {
+            shut();
+        }
+    }
+
+    /** The lately used one, unless more has come there than was asked for. */
+    PooledConnection<Q, A> take() {
+        PooledConnection<Q, A> last = idle.pollLast();
+        while (last != null && last.spoilt()) {
+            last.close();
+            last = idle.pollLast();
+        }
+        return last;
+    }
+
+    PooledConnection<Q, A> longestIdle() {
+        return idle.peekFirst();
+    }
+
+    void idles(PooledConnection<Q, A> connection) {
+        idle.addLast(connection);
+    }
+
+    void opens(PooledConnection<Q, A> connection) {
+        all.add(connection);
+    }
+
+    void left(PooledConnection<Q, A> connection) {
+        all.remove(connection);
+        idle.remove(connection);
+    }
+
+    /** Counts as not yet written, until {@link #noMore}. */
+    void waits(Attempt<Q, A> attempt) {
+        unwritten.add(attempt);
+    }
+
+    void noMore(Attempt<Q, A> attempt) {
+        unwritten.remove(attempt);
+    }
+
+    /** Nothing not yet written goes there any more. */
+    void shut() {
+        ready = false;
+        closeIdle();
+        for (Attempt<Q, A> attempt : List.copyOf(unwritten)) {
+            attempt.end(Outcome.CONNECT_FAILED);
+        }
+        List.copyOf(all).forEach(PooledConnection::draining);
+    }
+
+    void closeIdle() {
+        while (!idle.isEmpty()) {
+            idle.pollFirst().close();
+        }
+    }
+
+    /** Closes those that have idled for longer than so many nanoseconds. */
+    void retire(long now, long keepIdle) {
+        while (!idle.isEmpty() && now - idle.peekFirst().idleSince() > keepIdle) {
+            idle.pollFirst().close();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/topazvalve/core/pool/PooledConnection.java
@@ -0,0 +1,127 @@
+package topazvalve.core.pool;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import topazvalve.core.stream.ByteBudget;
+import topazvalve.decisions.Balancer.Outcome;
+
+/**
+ * One connection to a server: CONNECTING, then LEASED to one attempt after the other and IDLE between them,
+ * and CLOSED from any of these.
+ */
+public final class PooledConnection<Q, A> {
+    private enum State { CONNECTING, LEASED, IDLE, CLOSED }
+
+    private static final RecvByteBufAllocator READS =
+            new AdaptiveRecvByteBufAllocator(64, 2048, ByteBudget.LEAST);
+
+    private final Pools<Q, A> owner;
+    private final EventLoop loop;
+    private final Pool<Q, A> pool;
+    private final Carrier<Q, A> carrier;
+    private State state = State.CONNECTING;
+    private Channel channel;
+    private long idleSince;
+
+    PooledConnection(Pools<Q, A> owner, EventLoop loop, Pool<Q, A> pool, Codec<Q, A> codec) {
+        this.owner = owner;
+        this.loop = loop;
+        this.pool = pool;
+        this.carrier = codec.carrier(this);
+    }
+
+    /** Connects, and carries this attempt as its first. */
+    void open(Attempt<Q, A> first, int connectTimeoutMs) {
+        first.carried(this::close);
+        pool.opens(this);
+        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, READS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel made) {
+                        channel = made;
+                        owner.opened();
+                        made.closeFuture().addListener(closed -> owner.closed());
+                        carrier.prepare(made);
+                    }
+                })
+                .connect(pool.address())
+                .addListener(done -> connected(first, done.isSuccess()));
+    }
+
+    private void connected(Attempt<Q, A> first, boolean success) {
+        if (channel == null) {
+            // No socket could be made, which is no fault of the server's; told elsewhere.
+            pool.left(this);
+            loop.execute(() -> first.end(Outcome.NEVER_SENT));
+        } else if (!success) {
+            close();
+            first.broken();
+        } else if (first.over()) {
+            close();
+        } else {
+            state = State.LEASED;
+            carrier.carry(first);
+        }
+    }
+
+    /** Carries another attempt. */
+    void lease(Attempt<Q, A> next) {
+        state = State.LEASED;
+        next.carried(this::close);
+        carrier.carry(next);
+    }
+
+    /** Its server takes nothing new. */
+    void draining() {
+        if (state == State.LEASED) {
+            carrier.draining();
+        }
+    }
+
+    /** Whether nobody's attempt may follow, since more has come than was asked for. */
+    boolean spoilt() {
+        return carrier.spoilt();
+    }
+
+    /** When it was last given back; {@link System#nanoTime}. */
+    long idleSince() {
+        return idleSince;
+    }
+
+    public InetSocketAddress address() {
+        return pool.address();
+    }
+
+    /** The attempt is through: another may follow, or it is closed if its server takes no more. */
+    public void giveBack() {
+        if (state == State.LEASED && pool.ready() && channel.isActive()) {
+            state = State.IDLE;
+            idleSince = System.nanoTime();
+            pool.idles(this);
+        } else {
+            close();
+        }
+    }
+
+    /** Nothing more goes over it. */
+    public void close() {
+        if (state != State.CLOSED) {
+            state = State.CLOSED;
+            pool.left(this);
+            carrier.closing();
+        }
+        if (channel != null) {
+            channel.close();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/topazvalve/core/pool/Pools.java
@@ -0,0 +1,137 @@
+package topazvalve.core.pool;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import topazvalve.core.stream.RequestBody;
+import topazvalve.core.time.Time;
+import topazvalve.decisions.Balancer.Outcome;
+import topazvalve.decisions.Options;
+
+/**
+ * Connections to servers and the attempts on them, on sockets. An attempt is written once, on one connection,
+ * and ends with one outcome; nothing is sent again from here.
+ */
+public final class Pools<Q, A> implements Back<Q, A> {
+    private final EventLoop loop;
+    private final Time time;
+    private final Codec<Q, A> codec;
+    private final int mostConnections;
+    private final Map<Long, Pool<Q, A>> pools = new HashMap<>();
+    /** Stands for every server that is not listed. */
+    private final Pool<Q, A> nobody = new Pool<>();
+    private final Future<?> retirement;
+    private int connectTimeoutMs;
+    private long keepIdle;
+    private int connections;
+
+    /** Opens at most {@code mostConnections} connections at a time. */
+    public Pools(EventLoop loop, Time time, Options options, Codec<Q, A> codec, int mostConnections) {
+        this.loop = loop;
+        this.time = time;
+        this.codec = codec;
+        this.mostConnections = mostConnections;
+        retune(options);
+        long sweep = Math.max(1, keepIdle / 20);
+        retirement = loop.scheduleWithFixedDelay(this::retire, sweep, sweep, TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void retune(Options options) {
+        connectTimeoutMs = Math.max(1, (int) (options.number("caps.connectTimeout", 1e9) / 1e6));
+        // A server closes at its idle time; a tenth before it, nothing written can cross that on its way.
+        keepIdle = (long) (options.number("caps.connIdle", 5e9) * 0.9);
+        codec.retune(options);
+    }
+
+    @Override
+    public void listed(long server, InetSocketAddress address, long startedMs, boolean ready) {
+        pools.computeIfAbsent(server, id -> new Pool<>()).listed(address, startedMs, ready);
+    }
+
+    @Override
+    public void gone(long server) {
+        Pool<Q, A> pool = pools.remove(server);
+        if (pool != null) {
+            pool.shut();
+        }
+    }
+
+    @Override
+    public Attempt<Q, A> send(long server, Q message, RequestBody body, long wait,
+            AttemptListener<Q, A> listener) {
+        Pool<Q, A> pool = pools.getOrDefault(server, nobody);
+        Attempt<Q, A> attempt = new Attempt<>(time, message, body, wait, listener, pool::noMore);
+        if (body.whole()) {
+            attempt.limit(wait);
+        }
+        pool.waits(attempt);
+        PooledConnection<Q, A> idle = pool.ready() ? pool.take() : null;
+        if (!pool.ready()) {
+            attempt.end(Outcome.CONNECT_FAILED);
+        } else if (idle != null) {
+            idle.lease(attempt);
+        } else if (connections >= mostConnections && !closeLongestIdle()) {
+            attempt.end(Outcome.NEVER_SENT);
+        } else {
+            new PooledConnection<>(this, loop, pool, codec).open(attempt, connectTimeoutMs);
+        }
+        return attempt;
+    }
+
+    @Override
+    public void probe(long server, AttemptListener<Q, A> listener) {
+        Codec.Probe<Q> probe = codec.probe();
+        send(server, probe.message(), RequestBody.of(new byte[0]), probe.patience(), listener);
+    }
+
+    @Override
+    public int listed() {
+        return pools.size();
+    }
+
+    @Override
+    public void closeIdle(long server) {
+        Pool<Q, A> pool = pools.get(server);
+        if (pool != null) {
+            pool.closeIdle();
+        }
+    }
+
+    @Override
+    public void close() {
+        retirement.cancel(false);
+        pools.values().forEach(Pool::closeIdle);
+    }
+
+    /** Makes room for a connection where it is needed; false if every one is in use. */
+    private boolean closeLongestIdle() {
+        PooledConnection<Q, A> longest = null;
+        for (Pool<Q, A> pool : pools.values()) {
+            PooledConnection<Q, A> first = pool.longestIdle();
+            if (first != null && (longest == null || first.idleSince() < longest.idleSince())) {
+                longest = first;
+            }
+        }
+        if (longest != null) {
+            longest.close();
+        }
+        return longest != null;
+    }
+
+    private void retire() {
+        long now = System.nanoTime();
+        pools.values().forEach(pool -> pool.retire(now, keepIdle));
+    }
+
+    void opened() {
+        connections++;
+    }
+
+    void closed() {
+        connections--;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/topazvalve/core/pool/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to servers and the attempts on them, apart from how a protocol speaks on one. */
+package topazvalve.core.pool;
--- /dev/null
+++ b/core/src/main/java/topazvalve/core/servers/ServerList.java
@@ -0,0 +1,44 @@
+package topazvalve.core.servers;
+
+import java.util.List;
+import topazvalve.decisions.Balancer.ListKind;
+
+/**
+ * Tells of servers. The decision module says when to follow and when to ask; each answer and each failure
+ * comes to the one listener, on the loop.
+ */
+public interface ServerList {
+    /** Takes what a list tells; {@code targets} is empty for {@link ListKind#FAILED}. */
+    interface Listener {
+        void listed(ListKind kind, List<Target> targets);
+    }
+
+    /** Follows changes from the last one known, or stops; answered by one call at the least. */
+    void watch(boolean on);
+
+    /** Asks for the whole list once; answered by one call. */
+    void fetch();
+
+    /** Ends what is out; nobody is told of anything any more. */
+    void close();
+
+    /** A list that never changes by itself, for servers that a file names: {@link #fetch} tells it again. */
+    static ServerList fixed(List<Target> targets, Listener listener) {
+        return new ServerList() {
+            @Override
+            public void watch(boolean on) {
+                if (on) {
+                    fetch();
+                }
+            }
+
+            @Override
+            public void fetch() {
+                listener.listed(ListKind.FULL, targets);
+            }
+
+            @Override
+            public void close() { }
+        };
+    }
+}
--- a/sidecar/src/main/java/topazvalve/sidecar/stream/ByteBudget.java
+++ b/core/src/main/java/topazvalve/core/stream/ByteBudget.java
@@ -1,4 +1,4 @@
-package topazvalve.sidecar.stream;
+package topazvalve.core.stream;
 
 /**
  * The bytes of bodies that the process may hold, shared out evenly among the bodies under way. Each keeps to
--- a/sidecar/src/main/java/topazvalve/sidecar/stream/RequestBody.java
+++ b/core/src/main/java/topazvalve/core/stream/RequestBody.java
@@ -1,4 +1,4 @@
-package topazvalve.sidecar.stream;
+package topazvalve.core.stream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/sidecar/src/main/java/topazvalve/sidecar/stream/Source.java
+++ b/core/src/main/java/topazvalve/core/stream/Source.java
@@ -1,4 +1,4 @@
-package topazvalve.sidecar.stream;
+package topazvalve.core.stream;
 
 /** Where bytes come from that are passed on as they come. */
 public interface Source {
--- a/sidecar/src/main/java/topazvalve/sidecar/stream/package-info.java
+++ b/core/src/main/java/topazvalve/core/stream/package-info.java
@@ -1,2 +1,2 @@
 /** Bodies on their way through, of any protocol, within one bound on the bytes held. */
-package topazvalve.sidecar.stream;
+package topazvalve.core.stream;
--- /dev/null
+++ b/core/src/main/java/topazvalve/core/time/LoopTime.java
@@ -0,0 +1,26 @@
+package topazvalve.core.time;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/** An event loop's time. */
+public final class LoopTime implements Time {
+    private final EventLoop loop;
+    private final long offset = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
+
+    public LoopTime(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    @Override
+    public long now() {
+        return System.nanoTime() + offset;
+    }
+
+    @Override
+    public Alarm after(long nanoseconds, Runnable action) {
+        Future<?> set = loop.schedule(action, nanoseconds, TimeUnit.NANOSECONDS);
+        return () -> set.cancel(false);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/topazvalve/core/time/Time.java
@@ -0,0 +1,16 @@
+package topazvalve.core.time;
+
+/** One clock and its alarms. All is on one thread: an alarm rings there, never inside {@link #after}. */
+public interface Time {
+    /** Nanoseconds since 1970 that never run back, so that start times in a list can be compared. */
+    long now();
+
+    /** Calls once, so many nanoseconds from now. */
+    Alarm after(long nanoseconds, Runnable action);
+
+    /** One call to come. */
+    interface Alarm {
+        /** It will not be called, unless it was. */
+        void cancel();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/topazvalve/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** Time as the core sees it, so that tests can play it. */
+package topazvalve.core.time;
--- a/sidecar/src/test/java/topazvalve/sidecar/classes/ClassTableTest.java
+++ b/core/src/test/java/topazvalve/core/classes/ClassTableTest.java
@@ -1,4 +1,4 @@
-package topazvalve.sidecar.classes;
+package topazvalve.core.classes;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
--- /dev/null
+++ b/core/src/test/java/topazvalve/core/exchange/ExchangeModelTest.java
@@ -0,0 +1,64 @@
+package topazvalve.core.exchange;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import topazvalve.decisions.Balancer.Semantics;
+
+/**
+ * Plays every order of events up to a depth against the real core and module, each from the beginning: the
+ * client leaves, attempts are written, lost, answered, begun, cut, timers ring, a server drains, settings
+ * change, the process stops. {@code -Dmodel.depth=N} goes deeper.
+ */
+class ExchangeModelTest {
+    private static final int DEPTH = Integer.getInteger("model.depth", 5);
+    private final Set<String> states = new HashSet<>();
+    private long played;
+
+    @ParameterizedTest
+    @EnumSource(Semantics.class)
+    void everyOrderOfEventsEndsInOneAnswerAndLosesNothing(Semantics semantics) {
+        for (boolean whole : new boolean[] {true, false}) {
+            explore(semantics, whole, new ArrayList<>());
+        }
+        System.out.printf("model %s: %,d orders, %,d different states, depth %d%n", semantics, played,
+                states.size(), DEPTH);
+        assertTrue(states.size() > 100, "something happens");
+    }
+
+    private void explore(Semantics semantics, boolean whole, List<String> path) {
+        List<String> next;
+        try {
+            Scene scene = new Scene(semantics, whole);
+            path.forEach(scene::play);
+            states.add(scene.state());
+            next = scene.next();
+            scene.settle();
+            played++;
+        } catch (AssertionError | RuntimeException e) {
+            throw new AssertionError(semantics + (whole ? " whole " : " arriving ") + path, e);
+        }
+        if (path.size() < DEPTH) {
+            for (String event : next) {
+                path.add(event);
+                explore(semantics, whole, path);
+                path.remove(path.size() - 1);
+            }
+        }
+    }
+
+    @Test
+    void stepThatCannotBeIsLoud() {
+        assertThrows(IllegalStateException.class, () -> Phase.FORGOTTEN.after(Phase.Step.ENDED, 0));
+        assertThrows(IllegalStateException.class, () -> Phase.ANSWERED.after(Phase.Step.SETTLED, 1));
+        assertThrows(IllegalStateException.class, () -> Phase.ANSWERING.after(Phase.Step.BEGUN, 2));
+        assertThrows(IllegalStateException.class, () -> Phase.WAITING.after(Phase.Step.ENDED, 0));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/topazvalve/core/exchange/Scene.java
@@ -0,0 +1,337 @@
+package topazvalve.core.exchange;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import topazvalve.core.classes.ClassTable;
+import topazvalve.core.metrics.Metrics;
+import topazvalve.core.servers.ServerList;
+import topazvalve.core.servers.Target;
+import topazvalve.core.stream.ByteBudget;
+import topazvalve.core.stream.RequestBody;
+import topazvalve.core.stream.Source;
+import topazvalve.decisions.Balancer;
+import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.decisions.Balancer.Outcome;
+import topazvalve.decisions.Balancer.Semantics;
+import topazvalve.decisions.Balancer.State;
+import topazvalve.decisions.Options;
+import topazvalve.decisions.Rules;
+
+/** One exchange among two servers, the real core and the real module in played time, and what can happen. */
+final class Scene {
+    private static final String SETTINGS = """
+            quantum=0
+            caps.mayCancel=true
+            caps.tryLimit=%d
+            caps.retryAfter=true
+            caps.maxRetryAfter=1000000000
+            rules.answerSlack=100000000
+            rules.askWithin=1000000000
+            rules.stopSendingWithin=500000000
+            rules.coldShare=0.5
+            rules.rampTime=1000000000
+            rules.overloadFactor=2
+            rules.tipAfter=1000000000
+            profiles.count=1
+            profiles.0.name=one
+            profiles.0.slo=100000000
+            profiles.0.deadline=400000000
+            profiles.0.keyTtl=1000000000
+            profiles.0.keyScope=all
+            profiles.0.semantics=%s
+            """;
+    private static final int TRIES = 4;
+
+    final PlayTime time = new PlayTime();
+    final PlayBack back = new PlayBack(time);
+    private final ClassTable classes = new ClassTable();
+    private final Semantics semantics;
+    private final ByteBudget budget = new ByteBudget(ByteBudget.LEAST);
+    private final RequestBody body;
+    private final Exchanges<String, String> exchanges;
+    private final List<String> finals = new ArrayList<>();
+    private final List<ByteBuf> given = new ArrayList<>();
+    private final Map<Integer, Integer> outcomes = new HashMap<>();
+    private final Map<Long, Long> drainedAt = new HashMap<>();
+    private long id;
+    private int orders;
+    private boolean begun;
+    private boolean left;
+    private boolean dropped;
+    private boolean retuned;
+    private boolean stopped;
+
+    Scene(Semantics semantics, boolean whole) {
+        this.semantics = semantics;
+        body = whole ? RequestBody.of(new byte[8]) : new RequestBody(budget, -1);
+        Options options = options(TRIES);
+        exchanges = new Exchanges<>(time, options, this::module, back, 2, new Metrics(), classes);
+        exchanges.start(ServerList.fixed(List.of(), (kind, targets) -> { }),
+                List.of(target(1, State.READY), target(2, State.READY)));
+        id = exchanges.submit(new Job<>(classes.named("one"), 0, 0, 400, 0, false, true, "ask", body),
+                new Taker());
+    }
+
+    private Options options(int tries) {
+        return new Options(SETTINGS.formatted(tries, semantics.name().toLowerCase(java.util.Locale.ROOT)));
+    }
+
+    private static Target target(int number, State state) {
+        return new Target("s" + number, new InetSocketAddress("127.0.0.1", number), "z", "k", number, state,
+                1,
+                0);
+    }
+
+    /** The real module, between two ears. */
+    private Balancer module(Balancer.Settings settings, Balancer.Actions actions) {
+        Balancer.Actions heard = (Balancer.Actions) Proxy.newProxyInstance(Scene.class.getClassLoader(),
+                new Class<?>[] {Balancer.Actions.class}, (proxy, method, arguments) -> {
+                    if (method.getName().equals("send")) {
+                        orders++;
+                    }
+                    return call(actions, method, arguments);
+                });
+        Balancer rules = new Rules(settings, 7, heard);
+        return (Balancer) Proxy.newProxyInstance(Scene.class.getClassLoader(),
+                new Class<?>[] {Balancer.class},
+                (proxy, method, arguments) -> {
+                    if (method.getName().equals("outcome")) {
+                        outcomes.merge((Integer) arguments[2], 1, Integer::sum);
+                    }
+                    return call(rules, method, arguments);
+                });
+    }
+
+    private static Object call(Object on, java.lang.reflect.Method method, Object[] arguments)
+            throws Throwable {
+        try {
+            return method.invoke(on, arguments);
+        } catch (InvocationTargetException e) {
+            throw e.getCause();
+        }
+    }
+
+    /** What the client is told. */
+    private final class Taker implements Client<String> {
+        @Override
+        public void served(String answer) {
+            ends("served");
+        }
+
+        @Override
+        public void begun(String first, long length, Source rest) {
+            assertTrue(!begun && finals.isEmpty(), "begun once, before any end");
+            begun = true;
+        }
+
+        @Override
+        public void more(ByteBuf bytes) {
+            assertTrue(begun, "more of nothing");
+            bytes.release();
+        }
+
+        @Override
+        public void finished() {
+            assertTrue(begun, "finished what never began");
+            ends("finished");
+        }
+
+        @Override
+        public void cut() {
+            assertTrue(begun, "cut what never began");
+            ends("cut");
+        }
+
+        @Override
+        public void refused(long wait) {
+            assertTrue(!begun, "refused in the middle");
+            ends("refused");
+        }
+
+        @Override
+        public void failed() {
+            assertTrue(!begun, "failed in the middle");
+            ends("failed");
+        }
+
+        private void ends(String how) {
+            assertTrue(!left, "told after it left: " + how);
+            finals.add(how);
+            assertTrue(finals.size() == 1, "told twice: " + finals);
+        }
+    }
+
+    /** Everything that can happen next, each as its name. */
+    List<String> next() {
+        List<String> events = new ArrayList<>();
+        for (int i = 0; i < back.sent.size(); i++) {
+            PlayBack.Sent each = back.sent.get(i);
+            if (each.attempt.over()) {
+                continue;
+            }
+            if (!each.attempt.written()) {
+                events.add("lost " + i);
+                events.add(body.whole() ? "write " + i : "reject " + i);
+            } else if (!each.begun) {
+                events.add("ok " + i);
+                events.add("error " + i);
+                events.add("begin " + i);
+            } else {
+                events.add("more " + i);
+                events.add("end " + i);
+                events.add("reset " + i);
+            }
+        }
+        if (!left && finals.isEmpty()) {
+            events.add("hangup");
+            if (!body.whole()) {
+                events.add("last byte");
+                if (!dropped) {
+                    events.add("drop");
+                }
+            }
+        }
+        events.add("ring");
+        if (drainedAt.isEmpty()) {
+            events.add("drain");
+        }
+        if (!retuned) {
+            events.add("retune");
+        }
+        if (!stopped) {
+            events.add("stop");
+        }
+        return events;
+    }
+
+    void play(String event) {
+        time.pass(1_000_000);
+        String[] words = event.split(" ");
+        PlayBack.Sent sent = words.length == 2 && Character.isDigit(words[1].charAt(0))
+                ? back.sent.get(Integer.parseInt(words[1])) : null;
+        // What was due meanwhile may have ended it.
+        if (sent != null && sent.attempt.over()) {
+            return;
+        }
+        switch (words[0]) {
+            case "write" -> {
+                sent.attempt.writing();
+                sent.attempt.handOn();
+                sent.attempt.wrote();
+            }
+            case "lost" -> sent.attempt.broken();
+            case "reject" -> sent.attempt.end(Outcome.REJECTED);
+            case "ok" -> sent.attempt.end(Outcome.OK, "answer", new float[0]);
+            case "error" -> sent.attempt.end(Outcome.ERROR);
+            case "reset" -> sent.attempt.broken();
+            case "begin" -> {
+                sent.begun = true;
+                sent.attempt.begin("first", -1, new Source() {
+                    @Override
+                    public void pause() { }
+
+                    @Override
+                    public void resume() { }
+                });
+            }
+            case "more" -> {
+                ByteBuf bytes = Unpooled.buffer(1).writeByte(1);
+                given.add(bytes);
+                sent.attempt.more(bytes);
+            }
+            case "end" -> sent.attempt.end(Outcome.OK, null, new float[0]);
+            case "hangup" -> {
+                left = finals.isEmpty();
+                exchanges.hangup(id);
+            }
+            case "last" -> {
+                if (!body.whole()) {
+                    body.end();
+                }
+            }
+            case "drop" -> dropBody();
+            case "ring" -> time.ringNext();
+            case "drain" -> {
+                drainedAt.put(1L, time.now());
+                exchanges.listed(ListKind.DELTA, List.of(target(1, State.DRAINING)));
+            }
+            case "retune" -> {
+                retuned = true;
+                exchanges.retune(options(1));
+            }
+            case "stop" -> {
+                stopped = true;
+                exchanges.stop();
+            }
+            default -> throw new IllegalArgumentException(event);
+        }
+        holds();
+    }
+
+    /** More comes than may be held, and what was read of it is let go. */
+    private void dropBody() {
+        dropped = true;
+        ByteBuf piece = Unpooled.wrappedBuffer(new byte[ByteBudget.LEAST]);
+        for (int i = 0; i < 3; i++) {
+            body.add(piece.duplicate());
+            for (ByteBuf read = body.next(); read != null; read = body.next()) {
+                read.release();
+            }
+        }
+    }
+
+    /** What holds at every moment. */
+    private void holds() {
+        assertEquals(0, exchanges.faults(), "an event was not handled");
+        outcomes.forEach((number, count) -> assertEquals(1, count, "outcomes of attempt " + number));
+        assertTrue(back.sent.size() <= TRIES, "more than four attempts");
+        for (PlayBack.Sent each : back.sent) {
+            assertTrue(each.readyThen, "sent to a drained server");
+            assertTrue(semantics != Semantics.ONCE || !each.afterDoubt, "ran twice");
+        }
+        assertTrue(!dropped || back.sent.size() <= 1 || !back.sent.get(back.sent.size() - 1).afterDoubt,
+                "sent again without its body");
+    }
+
+    /** Lets everything come to its end, and looks whether all is settled. */
+    void settle() {
+        if (!body.whole() && !left && finals.isEmpty()) {
+            body.end();
+        }
+        for (int i = 0; i < back.sent.size(); i++) {
+            back.sent.get(i).attempt.broken();
+            holds();
+        }
+        time.pass(10_000_000_000L);
+        for (int i = 0; i < back.sent.size(); i++) {
+            back.sent.get(i).attempt.broken();
+        }
+        holds();
+        assertEquals(left ? 0 : 1, finals.size(), "final answers");
+        assertEquals(orders, outcomes.size(), "each order has an outcome");
+        assertEquals(0, exchanges.held(), "exchanges still known");
+        given.forEach(bytes -> assertEquals(0, bytes.refCnt(), "a buffer is lost"));
+    }
+
+    /** Where things stand, for counting how many different states were seen. */
+    String state() {
+        StringBuilder text = new StringBuilder().append(exchanges.phases()).append(finals).append(begun)
+                .append(left).append(dropped).append(retuned).append(stopped).append(body.whole())
+                .append(drainedAt.keySet());
+        for (PlayBack.Sent each : back.sent) {
+            text.append(each.server).append(each.attempt.over() ? 'o' : each.begun ? 'b'
+                    : each.attempt.written() ? 'w' : 'n');
+        }
+        return text.toString();
+    }
+}
--- a/sidecar/src/test/java/topazvalve/sidecar/lifecycle/LifecycleTest.java
+++ b/core/src/test/java/topazvalve/core/lifecycle/LifecycleTest.java
@@ -1,4 +1,4 @@
-package topazvalve.sidecar.lifecycle;
+package topazvalve.core.lifecycle;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/sidecar/src/test/java/topazvalve/sidecar/stream/RequestBodyTest.java
+++ b/core/src/test/java/topazvalve/core/stream/RequestBodyTest.java
@@ -1,4 +1,4 @@
-package topazvalve.sidecar.stream;
+package topazvalve.core.stream;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/decisions/src/main/java/topazvalve/decisions/Balancer.java
+++ b/decisions/src/main/java/topazvalve/decisions/Balancer.java
@@ -83,7 +83,8 @@
      * @param deadline the longest a client waits over all its tries
      * @param lateShare part of the worth earned between aim and deadline
      * @param keyTtl for BY_KEY: how long repeats are dropped, from the first send that may have run
-     * @param stream the answer streams: {@link Balancer#firstByte} tells of its start
+     * @param stream the answer streams: {@link Balancer#firstByte} tells of its start, and its attempt counts
+     *     as in flight until its outcome
      */
     record RequestClass(long aim, double aimStretch, long deadline, double worth, double lateShare,
             Semantics semantics, Scope scope, long keyTtl, boolean stream) {
--- a/decisions/src/main/java/topazvalve/decisions/Rules.java
+++ b/decisions/src/main/java/topazvalve/decisions/Rules.java
@@ -184,7 +184,7 @@
                     continue;
                 }
                 if (pointed != null) {
-                    return server.inFlight < pointed.inFlight ? server : pointed;
+                    return server.holds() < pointed.holds() ? server : pointed;
                 }
                 if (!takesTurn(server, call)) {
                     passedOver = passedOver == null ? server : passedOver;
@@ -233,6 +233,8 @@
     private static final class Server {
         Upstream entry;
         int inFlight;
+        /** Streams that are open: they tell nothing more of its pace, but they are there. */
+        int streams;
         long coldUntil;
         double credit;
         double coldTokens;
@@ -255,6 +257,10 @@
             this.integratedAt = now;
             this.coldAt = now;
         }
+
+        int holds() {
+            return inFlight + streams;
+        }
     }
 
     private static final class Attempt {
@@ -266,6 +272,7 @@
         int crowd;
         boolean inFlight;
         boolean settled;
+        boolean stream;
         boolean out = true;
         boolean mayHaveRun = true;
 
@@ -387,6 +394,8 @@
             attempt.settled = true;
             if (attempt.inFlight) {
                 attempt.server.inFlight--;
+                attempt.stream = call.streaming && call.kind.stream() && attempt.out;
+                attempt.server.streams += attempt.stream ? 1 : 0;
             }
             health.ended(now, attempt, outcome, call);
             if (outcome != Outcome.CONNECT_FAILED) {
@@ -468,6 +477,7 @@
             }
             Attempt attempt = call.attempts.get(number);
             attempt.out = false;
+            attempt.server.streams -= attempt.stream ? 1 : 0;
             attempt.mayHaveRun = !outcome.provesNeverRan();
             settle(now, attempt, outcome, call);
             if (ended || call.closed) {
@@ -608,7 +618,7 @@
             if (rate == 0) {
                 // Nothing to compare with yet. Danger: one at a time is one from every sidecar at once, so a
                 // lone sidecar's habit pushes a cold server over; the warm ones take the request instead.
-                return server.inFlight == 0 && ready.stream().allMatch(other -> now < other.coldUntil);
+                return server.holds() == 0 && ready.stream().allMatch(other -> now < other.coldUntil);
             }
             if (!server.coldMet) {
                 // Danger: a first request free of charge comes from hundreds of sidecars together. Each
@@ -619,7 +629,7 @@
             double depth = rate * settings.limits().tipAfter() / 2;
             server.coldTokens = Math.min(depth, server.coldTokens + rate * (now - server.coldAt));
             server.coldAt = now;
-            return server.coldTokens >= 0 && server.inFlight <= 1 + server.limit / 2;
+            return server.coldTokens >= 0 && server.holds() <= 1 + server.limit / 2;
         }
 
         /** Work a nanosecond that a warm server serves for this sidecar, on average. */
--- /dev/null
+++ b/sidecar/src/main/java/topazvalve/sidecar/HttpSide.java
@@ -0,0 +1,62 @@
+package topazvalve.sidecar;
+
+import io.netty.channel.EventLoop;
+import topazvalve.core.classes.ClassTable;
+import topazvalve.core.exchange.Exchanges;
+import topazvalve.core.lifecycle.Lifecycle;
+import topazvalve.core.metrics.Metrics;
+import topazvalve.core.pool.Pools;
+import topazvalve.core.stream.ByteBudget;
+import topazvalve.core.time.LoopTime;
+import topazvalve.core.time.Time;
+import topazvalve.decisions.Rules;
+import topazvalve.sidecar.config.Config;
+import topazvalve.sidecar.discovery.Discovery;
+import topazvalve.sidecar.front.Frontend;
+import topazvalve.sidecar.http.Answer;
+import topazvalve.sidecar.http.Message;
+import topazvalve.sidecar.upstream.HttpCodec;
+
+/** HTTP plugged into the core: the front, the exchanges, the pools and the list of order servers. */
+final class HttpSide {
+    private final Exchanges<Message, Answer> exchanges;
+    private final Discovery discovery;
+    private final Frontend front;
+
+    HttpSide(EventLoop loop, Config config, int mostOpen, int mostClients, Metrics metrics,
+            Lifecycle lifecycle) {
+        ClassTable classes = new ClassTable();
+        Time time = new LoopTime(loop);
+        exchanges = new Exchanges<>(time, config.options(),
+                (settings, actions) -> new Rules(settings, config.seed(), actions),
+                new Pools<>(loop, time, config.options(), new HttpCodec(), config.mostUpstream()), mostOpen,
+                metrics, classes);
+        discovery = new Discovery(loop, config.discovery(), config.known().rev(), exchanges);
+        front = new Frontend(loop, exchanges, classes, config.options().names("parties"), mostClients,
+                lifecycle, new ByteBudget(config.bodyBytes()));
+    }
+
+    void start(Config config) {
+        exchanges.start(discovery, config.known().targets());
+    }
+
+    /** Takes a new configuration over: the settings, and where discovery is. */
+    void reconfigure(Config config) {
+        exchanges.retune(config.options());
+        discovery.move(config.discovery());
+    }
+
+    Exchanges<Message, Answer> exchanges() {
+        return exchanges;
+    }
+
+    Frontend front() {
+        return front;
+    }
+
+    /** Holds no more connections; for one that never served. */
+    void stop() {
+        front.stop();
+        exchanges.stop();
+    }
+}
--- a/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
@@ -13,14 +13,10 @@
 import org.slf4j.LoggerFactory;
 import topazvalve.decisions.Balancer.RequestClass;
 import topazvalve.sidecar.admin.AdminServer;
-import topazvalve.sidecar.classes.ClassTable;
 import topazvalve.sidecar.config.Config;
-import topazvalve.sidecar.engine.Engine;
-import topazvalve.sidecar.front.Frontend;
-import topazvalve.sidecar.lifecycle.Lifecycle;
+import topazvalve.core.lifecycle.Lifecycle;
 import topazvalve.sidecar.listen.ClientListener;
-import topazvalve.sidecar.metrics.Metrics;
-import topazvalve.sidecar.stream.ByteBudget;
+import topazvalve.core.metrics.Metrics;
 
 /** One running sidecar: its parts, and the order in which they start and end. On the event loop alone. */
 final class Sidecar {
@@ -38,8 +34,7 @@
     private final Runnable whenReady;
     private final Lifecycle lifecycle = new Lifecycle();
     private final Metrics metrics = new Metrics();
-    private final Engine engine;
-    private final Frontend frontend;
+    private final HttpSide http;
 
     Sidecar(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config, ClientListener clients,
             Runnable whenReady) {
@@ -48,18 +43,16 @@
         this.config = config;
         this.clients = clients;
         this.whenReady = whenReady;
-        ClassTable classes = new ClassTable();
-        this.engine = new Engine(loop, config, config.sockets() / 2, metrics, classes);
-        this.frontend = new Frontend(loop, engine, classes, config.options().names("parties"),
-                config.mostClients(), lifecycle, new ByteBudget(config.bodyBytes()));
+        this.http = new HttpSide(loop, config, config.sockets() / 2, config.mostClients(), metrics,
+                lifecycle);
     }
 
     void start() {
-        engine.start(config.known());
+        http.start(config);
         if (config.admin() == null) {
             takeClients(null);
         } else {
-            AdminServer admin = new AdminServer(lifecycle, () -> metrics.text(engine));
+            AdminServer admin = new AdminServer(lifecycle, () -> metrics.text(http.exchanges()));
             onceOpen(admin.listen(group, config.admin()), "admin", this::takeClients);
         }
     }
@@ -72,11 +65,11 @@
         if (clients.shared()) {
             WarmUp.run(loop, config, door, () -> {
                 if (!lifecycle.emptying()) {
-                    onceOpen(clients.open(group, frontend.connections()), "listen", at -> ready());
+                    onceOpen(clients.open(group, http.front().connections()), "listen", at -> ready());
                 }
             });
         } else {
-            onceOpen(clients.open(group, frontend.connections()), "listen",
+            onceOpen(clients.open(group, http.front().connections()), "listen",
                     at -> WarmUp.run(loop, config, at, this::ready));
         }
     }
@@ -116,7 +109,7 @@
             turnDown(e);
             return;
         }
-        engine.reconfigure(read);
+        http.reconfigure(read);
         config = read;
         metrics.configApplied();
         LOG.info("new configuration taken: classes {}, attempts {}", read.options().names("profiles"),
@@ -130,11 +123,11 @@
 
     /** At SIGTERM: calls {@code done} once all is answered and nobody is connected any more. */
     void end(CountDownLatch done) {
-        LOG.info("{} ending, {} open requests", config.name(), engine.active());
+        LOG.info("{} ending, {} open requests", config.name(), http.exchanges().active());
         lifecycle.end();
         loop.schedule(clients::stop, clients.shared() ? 0 : ACCEPT_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> {
-            if (frontend.empty() && engine.active() == 0) {
+            if (http.front().empty() && http.exchanges().active() == 0) {
                 done.countDown();
             }
         }, ACCEPT_MS, POLL_MS, TimeUnit.MILLISECONDS);
--- a/sidecar/src/main/java/topazvalve/sidecar/WarmUp.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/WarmUp.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -18,34 +19,33 @@
 import topazvalve.decisions.Balancer.State;
 import topazvalve.decisions.Balancer.Upstream;
 import topazvalve.decisions.Rules;
-import topazvalve.sidecar.classes.ClassTable;
 import topazvalve.sidecar.config.Config;
-import topazvalve.sidecar.engine.Engine;
-import topazvalve.sidecar.front.Frontend;
+import topazvalve.core.pool.Pools;
+import topazvalve.core.time.LoopTime;
+import topazvalve.sidecar.http.Answer;
 import topazvalve.sidecar.http.Message;
-import topazvalve.sidecar.lifecycle.Lifecycle;
-import topazvalve.sidecar.metrics.Metrics;
-import topazvalve.sidecar.stream.ByteBudget;
-import topazvalve.sidecar.stream.RequestBody;
-import topazvalve.sidecar.upstream.Upstreams;
+import topazvalve.sidecar.upstream.HttpCodec;
+import topazvalve.core.lifecycle.Lifecycle;
+import topazvalve.core.metrics.Metrics;
+import topazvalve.core.stream.RequestBody;
 
 /**
  * Loads and compiles what every request runs through, before the first client comes: the sidecar asks one of
  * its own listeners, and an instance of the module that nobody hears decides for requests that do not exist.
  */
 final class WarmUp {
-    /** As many calls as the JVM takes to compile a method. */
-    private static final int ROUNDS = 200;
+    /** Fewer start sooner and cost the first seconds of service: docs/measurements.md has the figures. */
+    private static final int ROUNDS = 600;
     private static final long PATIENCE = 1_000_000_000;
     /** For all rounds together: on a crowded core a cold sidecar is better than a late one. */
     private static final long LONGEST = 2_500_000_000L;
     private static final long STEP = 10_000_000;
 
-    private final Upstreams self;
+    private final Pools<Message, Answer> self;
     private final Runnable done;
     private final long began;
 
-    private WarmUp(long began, Upstreams self, Runnable done) {
+    private WarmUp(long began, Pools<Message, Answer> self, Runnable done) {
         this.began = began;
         this.self = self;
         this.done = done;
@@ -56,7 +56,8 @@
         long began = System.nanoTime();
         decide(began, config.options().settings());
         answer(began, loop, config);
-        Upstreams self = new Upstreams(loop, config.options(), 1);
+        Pools<Message, Answer> self = new Pools<>(loop, new LoopTime(loop), config.options(), new HttpCodec(),
+                1);
         if (listener != null) {
             self.listed(0, listener, 0, true);
         }
@@ -74,19 +75,17 @@
             done.run();
             return;
         }
-        Message message = new Message(HttpMethod.GET, "/up", new DefaultHttpHeaders());
+        Message message = new Message(HttpMethod.GET, "/up",
+                new DefaultHttpHeaders().set(HttpHeaderNames.HOST, "app.svc"));
         self.send(0, message, RequestBody.of(new byte[0]), PATIENCE, (outcome, answer, load) ->
                 ask(outcome == Outcome.ERROR ? left - 1 : 0));
     }
 
-    /** A frontend that nobody can reach takes requests; its engine, which knows no server, refuses them. */
+    /** A frontend that nobody can reach takes requests; the core, which knows no server, refuses them. */
     private static void answer(long began, EventLoop loop, Config config) {
-        ClassTable classes = new ClassTable();
-        Engine engine = new Engine(loop, config, ROUNDS, new Metrics(), classes);
+        HttpSide side = new HttpSide(loop, config, ROUNDS, 1, new Metrics(), new Lifecycle());
         List<String> tenants = config.options().names("parties");
-        Frontend frontend = new Frontend(loop, engine, classes, tenants, 1, new Lifecycle(),
-                new ByteBudget(config.bodyBytes()));
-        EmbeddedChannel client = new EmbeddedChannel(frontend.connections());
+        EmbeddedChannel client = new EmbeddedChannel(side.front().connections());
         List<RequestClass> rules = config.options().settings().classes();
         List<String> names = config.options().names("profiles");
         for (int i = 0; i < ROUNDS && !late(began); i++) {
@@ -103,8 +102,7 @@
             client.releaseOutbound();
         }
         client.finishAndReleaseAll();
-        frontend.stop();
-        engine.stop();
+        side.stop();
     }
 
     private static void decide(long began, Settings settings) {
--- a/sidecar/src/main/java/topazvalve/sidecar/admin/AdminCalls.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/admin/AdminCalls.java
@@ -6,7 +6,7 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import topazvalve.sidecar.lifecycle.Lifecycle;
+import topazvalve.core.lifecycle.Lifecycle;
 
 /** What operators can ask and order. */
 final class AdminCalls {
--- a/sidecar/src/main/java/topazvalve/sidecar/admin/AdminServer.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/admin/AdminServer.java
@@ -34,7 +34,7 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import topazvalve.sidecar.lifecycle.Lifecycle;
+import topazvalve.core.lifecycle.Lifecycle;
 
 /**
  * Listens for operators: one call on each connection, bounded in size, time and number. A caller that says
--- a/sidecar/src/main/java/topazvalve/sidecar/config/Config.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/config/Config.java
@@ -16,7 +16,7 @@
 import topazvalve.sidecar.discovery.Listing;
 import topazvalve.sidecar.json.Json;
 import topazvalve.sidecar.json.Node;
-import topazvalve.sidecar.net.Addresses;
+import topazvalve.core.net.Addresses;
 
 /** What one sidecar is told, checked whole; a mistake is an exception whose message names the key. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress admin,
--- a/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
@@ -28,15 +28,15 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import topazvalve.core.servers.ServerList;
 import topazvalve.decisions.Balancer.ListKind;
 import topazvalve.sidecar.json.Json;
 import topazvalve.sidecar.json.Node;
 
 /** Asks discovery for the list: a watch on its changes, or the whole once. The module decides when. */
-public final class Discovery {
+public final class Discovery implements ServerList {
     private static final Logger LOG = LoggerFactory.getLogger("discovery");
     /** A call waits for up to 2 s and empty lines come every 2 s: longer silence is a break. */
     private static final long SILENCE_MS = 5_000;
@@ -44,7 +44,7 @@
     private static final int LONGEST_LINE = 4 << 20;
 
     private final EventLoop loop;
-    private final BiConsumer<ListKind, List<Target>> listener;
+    private final ServerList.Listener listener;
     private final Set<Call> calls = new HashSet<>();
     private InetSocketAddress address;
     private long rev;
@@ -54,7 +54,7 @@
 
     /** Tells {@code listener} of each answer and each failure, on the loop. */
     public Discovery(EventLoop loop, InetSocketAddress address, long rev,
-            BiConsumer<ListKind, List<Target>> listener) {
+            ServerList.Listener listener) {
         this.loop = loop;
         this.address = address;
         this.rev = rev;
@@ -62,6 +62,7 @@
     }
 
     /** Follows changes from the last one known; a watch that is asked for again replaces the old one. */
+    @Override
     public void watch(boolean on) {
         wanted = on;
         if (watch != null) {
@@ -97,11 +98,17 @@
         }
     }
 
-    /** Asks for the whole list once. */
+    @Override
     public void fetch() {
         new Call(false).open();
     }
 
+    @Override
+    public void close() {
+        watch = null;
+        List.copyOf(calls).forEach(Call::close);
+    }
+
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
         private final boolean watching;
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
@@ -167,7 +174,7 @@
                 if (watch == this) {
                     watch = null;
                 }
-                listener.accept(ListKind.FAILED, List.of());
+                listener.listed(ListKind.FAILED, List.of());
             }
         }
 
@@ -210,7 +217,7 @@
                 } else if (watching && !answered) {
                     // Nothing has changed since the version known: that, too, is the watch's answer.
                     answered = true;
-                    listener.accept(ListKind.DELTA, List.of());
+                    listener.listed(ListKind.DELTA, List.of());
                 }
             }
         }
@@ -232,7 +239,7 @@
                     fetch();
                 }
             }
-            listener.accept(listing.all() ? ListKind.FULL : ListKind.DELTA, listing.targets());
+            listener.listed(listing.all() ? ListKind.FULL : ListKind.DELTA, listing.targets());
         }
 
         @Override
--- a/sidecar/src/main/java/topazvalve/sidecar/engine/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** The life of a request: the only caller of the decision module. */
-package topazvalve.sidecar.engine;
--- /dev/null
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/AnswerFlow.java
@@ -0,0 +1,57 @@
+package topazvalve.sidecar.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import topazvalve.core.stream.ByteBudget;
+import topazvalve.core.stream.Source;
+
+/** An answer on its way to a client as it comes, which holds no more than its share of the budget. */
+final class AnswerFlow {
+    private final Channel channel;
+    private final ByteBudget budget;
+    private final Runnable onTaken;
+    private Source source;
+    private boolean paused;
+    private long unsent;
+
+    /** Calls {@code onTaken} whenever the client's side has taken some. */
+    AnswerFlow(Channel channel, ByteBudget budget, Source source, Runnable onTaken) {
+        this.channel = channel;
+        this.budget = budget;
+        this.source = source;
+        this.onTaken = onTaken;
+        budget.enter();
+    }
+
+    /** Takes over the buffer. */
+    void pass(ByteBuf bytes) {
+        int size = bytes.readableBytes();
+        unsent += size;
+        channel.writeAndFlush(new DefaultHttpContent(bytes)).addListener(done -> taken(size));
+        if (unsent > budget.share() && source != null && !paused) {
+            paused = true;
+            source.pause();
+        }
+    }
+
+    private void taken(int size) {
+        unsent -= size;
+        onTaken.run();
+        if (paused && source != null && unsent <= budget.share() / 2) {
+            paused = false;
+            source.resume();
+        }
+    }
+
+    /** Whether the client has taken all that there is. */
+    boolean taken() {
+        return unsent == 0;
+    }
+
+    /** No more will come. */
+    void end() {
+        source = null;
+        budget.leave();
+    }
+}
--- a/sidecar/src/main/java/topazvalve/sidecar/front/ClientConnection.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/ClientConnection.java
@@ -11,7 +11,6 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -31,17 +30,19 @@
 import java.util.ArrayDeque;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import topazvalve.sidecar.engine.Client;
-import topazvalve.sidecar.engine.Engine;
-import topazvalve.sidecar.engine.Job;
+import topazvalve.core.exchange.Client;
+import topazvalve.core.exchange.Intake;
+import topazvalve.core.exchange.Job;
 import topazvalve.sidecar.http.Answer;
-import topazvalve.sidecar.lifecycle.Lifecycle;
-import topazvalve.sidecar.stream.ByteBudget;
-import topazvalve.sidecar.stream.RequestBody;
-import topazvalve.sidecar.stream.Source;
+import topazvalve.sidecar.http.Message;
+import topazvalve.core.lifecycle.Lifecycle;
+import topazvalve.core.stream.ByteBudget;
+import topazvalve.core.stream.RequestBody;
+import topazvalve.core.stream.Source;
 
 /** One client's connection: one request at a time, each answered once. */
-final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements Client {
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject>
+        implements Client<Answer> {
     private static final Logger LOG = LoggerFactory.getLogger("frontend");
     private static final int LARGEST_BODY = 1 << 25;
     /** From the connecting, or a used connection's first byte, to a head's end; then without a byte. */
@@ -58,7 +59,7 @@
     /** A connection made while the sidecar empties is given so long for its request. */
     private static final long FIRST_TIME = 300_000_000;
     private final Frontend owner;
-    private final Engine engine;
+    private final Intake<Message, Answer> intake;
     private final RequestReader reader;
     private final Lifecycle lifecycle;
     private final ByteBudget budget;
@@ -68,7 +69,7 @@
     private Stage stage = Stage.NEW;
     private long since = System.nanoTime();
     private int lingered;
-    private Job job;
+    private Job<Message> job;
     private RequestBody body;
     /** Whether the end of the body is still to come. */
     private boolean incoming;
@@ -77,15 +78,14 @@
     private String id;
     private boolean idTaken;
     private long request;
-    /** Where the rest of an answer comes from that is passed on as it comes; null if none is. */
-    private Source source;
-    private boolean paused;
-    private long unsent;
+    /** An answer that is passed on as it comes; null if none is. */
+    private AnswerFlow flow;
 
-    ClientConnection(Frontend owner, Engine engine, RequestReader reader, Lifecycle lifecycle,
+    ClientConnection(Frontend owner, Intake<Message, Answer> intake, RequestReader reader,
+            Lifecycle lifecycle,
             ByteBudget budget, Channel channel) {
         this.owner = owner;
-        this.engine = engine;
+        this.intake = intake;
         this.reader = reader;
         this.lifecycle = lifecycle;
         this.budget = budget;
@@ -139,7 +139,7 @@
         long limit = switch (stage) {
             case LINGERING -> LINGER_TIME;
             case IDLE -> IDLE_TIME;
-            case ANSWERED -> source != null && unsent == 0 ? Long.MAX_VALUE : TAKE_TIME;
+            case ANSWERED -> flow != null && flow.taken() ? Long.MAX_VALUE : TAKE_TIME;
             case ASKED -> mute ? REQUEST_TIME : Long.MAX_VALUE;
             default -> REQUEST_TIME;
         };
@@ -226,9 +226,10 @@
         body = new RequestBody(budget, HttpUtil.getContentLength(head, -1L));
         body.onRoom(this::readOn);
         incoming = true;
-        String path = RequestReader.path(head.uri());
         try {
             RequestReader.framed(head);
+            RequestReader.toOriginForm(head);
+            String path = RequestReader.path(head.uri());
             if (path.equals("/api") || path.startsWith("/api/")) {
                 job = reader.job(head, path, body);
                 id = head.headers().get("Req-Id");
@@ -260,10 +261,10 @@
             reject(HttpResponseStatus.CONFLICT, "Req-Id in use");
             return;
         }
-        Job taken = job;
+        Job<Message> taken = job;
         job = null;
         enter(Stage.ASKED);
-        long number = engine.submit(taken, this);
+        long number = intake.submit(taken, this);
         // The answer may have come within that call.
         if (stage == Stage.ASKED) {
             request = number;
@@ -273,7 +274,7 @@
     @Override
     public void served(Answer answer) {
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()));
+                answer.status(), Unpooled.wrappedBuffer(answer.body()));
         response.headers().set(answer.headers());
         answer(response);
     }
@@ -296,9 +297,7 @@
     @Override
     public void begun(Answer first, long length, Source rest) {
         enter(Stage.ANSWERED);
-        source = rest;
-        budget.enter();
-        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, first.status());
         response.headers().set(first.headers()).remove(HttpHeaderNames.CONTENT_LENGTH);
         if (length >= 0) {
             HttpUtil.setContentLength(response, length);
@@ -312,27 +311,16 @@
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         channel.write(response);
-        more(Unpooled.wrappedBuffer(first.body()));
+        flow = new AnswerFlow(channel, budget, rest, () -> since = System.nanoTime());
+        flow.pass(Unpooled.wrappedBuffer(first.body()));
     }
 
     @Override
     public void more(ByteBuf bytes) {
-        int size = bytes.readableBytes();
-        unsent += size;
-        channel.writeAndFlush(new DefaultHttpContent(bytes)).addListener(done -> taken(size));
-        if (unsent > budget.share() && source != null && !paused) {
-            paused = true;
-            source.pause();
-        }
-    }
-
-    /** The client's side has taken some of an answer. */
-    private void taken(int size) {
-        unsent -= size;
-        since = System.nanoTime();
-        if (paused && source != null && unsent <= budget.share() / 2) {
-            paused = false;
-            source.resume();
+        if (flow == null) {
+            bytes.release();
+        } else {
+            flow.pass(bytes);
         }
     }
 
@@ -354,9 +342,8 @@
 
     private void endFlow() {
         forget();
-        source = null;
-        paused = false;
-        budget.leave();
+        flow.end();
+        flow = null;
     }
 
     /** Whether the connection stays: a request that has been read already must be answered first. */
@@ -423,7 +410,7 @@
         long open = request;
         end(Replies.plain(status, text));
         if (open != 0) {
-            engine.hangup(open);
+            intake.hangup(open);
         }
     }
 
@@ -445,7 +432,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         owner.left(this);
         long open = request;
-        if (source != null) {
+        if (flow != null) {
             endFlow();
         }
         forget();
@@ -454,7 +441,7 @@
         waiting.forEach(ReferenceCountUtil::release);
         waiting.clear();
         if (open != 0) {
-            engine.hangup(open);
+            intake.hangup(open);
         }
     }
 
--- a/sidecar/src/main/java/topazvalve/sidecar/front/Frontend.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/Frontend.java
@@ -12,24 +12,27 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import topazvalve.sidecar.classes.ClassTable;
-import topazvalve.sidecar.engine.Engine;
-import topazvalve.sidecar.lifecycle.Lifecycle;
-import topazvalve.sidecar.stream.ByteBudget;
+import topazvalve.core.classes.ClassTable;
+import topazvalve.core.Front;
+import topazvalve.core.exchange.Intake;
+import topazvalve.sidecar.http.Answer;
+import topazvalve.sidecar.http.Message;
+import topazvalve.core.lifecycle.Lifecycle;
+import topazvalve.core.stream.ByteBudget;
 
 /**
  * The application's side: reads requests, answers each once, and tells malformed ones so itself. A client
  * that sends what can't be used is told at once, and its connection ends; nobody holds one for longer than a
  * request takes.
  */
-public final class Frontend {
+public final class Frontend implements Front {
     /** A request's id is held to be in use for a while after its answer: clients never use one again. */
     private static final long ID_TIME = 2_000_000_000L;
     private static final long SWEEP_MS = 100;
 
     private record Past(String id, long at) { }
 
-    private final Engine engine;
+    private final Intake<Message, Answer> intake;
     private final RequestReader reader;
     private final int mostConnections;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
@@ -40,9 +43,10 @@
     private final Future<?> sweeping;
 
     /** Serves on this loop. */
-    public Frontend(EventLoop loop, Engine engine, ClassTable classes, List<String> tenantNames,
+    public Frontend(EventLoop loop, Intake<Message, Answer> intake, ClassTable classes,
+            List<String> tenantNames,
             int mostConnections, Lifecycle lifecycle, ByteBudget budget) {
-        this.engine = engine;
+        this.intake = intake;
         this.budget = budget;
         this.lifecycle = lifecycle;
         this.reader = new RequestReader(classes, tenantNames);
@@ -50,7 +54,8 @@
         sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Takes up a connection that was made; there are requests on it at once, whatever {@code /up} says. */
+    /** There are requests on a connection at once, whatever {@code /up} says. */
+    @Override
     public ChannelHandler connections() {
         return new ChannelInitializer<Channel>() {
             @Override
@@ -59,7 +64,7 @@
                     made.close();
                     return;
                 }
-                ClientConnection connection = new ClientConnection(Frontend.this, engine, reader,
+                ClientConnection connection = new ClientConnection(Frontend.this, intake, reader,
                         lifecycle, budget, made);
                 connections.add(connection);
                 made.pipeline().addLast(new HttpResponseEncoder(), new RequestDecoder(connection),
@@ -68,12 +73,12 @@
         };
     }
 
-    /** Looks after nobody any more. */
+    @Override
     public void stop() {
         sweeping.cancel(false);
     }
 
-    /** Whether no client is connected any more. */
+    @Override
     public boolean empty() {
         return connections.isEmpty();
     }
--- a/sidecar/src/main/java/topazvalve/sidecar/front/RequestReader.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/RequestReader.java
@@ -5,17 +5,19 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import topazvalve.decisions.Balancer.Semantics;
-import topazvalve.sidecar.classes.ClassTable;
-import topazvalve.sidecar.engine.Job;
+import topazvalve.core.classes.ClassTable;
+import topazvalve.core.exchange.Job;
 import topazvalve.sidecar.http.Headers;
 import topazvalve.sidecar.http.Message;
-import topazvalve.sidecar.stream.RequestBody;
+import topazvalve.core.stream.RequestBody;
 
 /** Reads what a request's head tells; what can't be used is an {@link IllegalArgumentException}. */
 final class RequestReader {
     private static final int LONGEST_ID = 128;
+    private static final String SCHEME = "http://";
     private static final String KEY = "Idempotency-Key";
     private final ClassTable classes;
     private final List<String> tenantNames;
@@ -30,9 +32,33 @@
         return query < 0 ? uri : uri.substring(0, query);
     }
 
-    /** Rejects what two readers could take for requests of different lengths. */
+    /**
+     * Gives a target in absolute form (RFC 9112 3.2.2) the form that order servers know, and {@code Host}
+     * what it says, which goes before that header.
+     */
+    static void toOriginForm(HttpRequest message) {
+        String uri = message.uri();
+        if (!uri.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
+            return;
+        }
+        int rest = SCHEME.length();
+        while (rest < uri.length() && "/?".indexOf(uri.charAt(rest)) < 0) {
+            rest++;
+        }
+        if (rest == SCHEME.length()) {
+            throw new IllegalArgumentException("no host in the target");
+        }
+        message.headers().set(HttpHeaderNames.HOST, uri.substring(SCHEME.length(), rest));
+        message.setUri(uri.startsWith("/", rest) ? uri.substring(rest) : "/" + uri.substring(rest));
+    }
+
+    /** Rejects what two readers could take for requests of different lengths, or for different hosts. */
     static void framed(HttpRequest message) {
         HttpHeaders headers = message.headers();
+        if (message.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                && !headers.contains(HttpHeaderNames.HOST)) {
+            throw new IllegalArgumentException("no Host");
+        }
         boolean coded = headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
         if (message.protocolVersion().majorVersion() != 1 || coded && !Headers.onlyChunked(message)) {
             throw new IllegalArgumentException("version or transfer coding not supported");
@@ -53,7 +79,7 @@
         }
     }
 
-    Job job(HttpRequest message, String path, RequestBody body) {
+    Job<Message> job(HttpRequest message, String path, RequestBody body) {
         if (header(message, "Req-Id").length() > LONGEST_ID) {
             throw new IllegalArgumentException("Req-Id too long");
         }
@@ -78,7 +104,7 @@
         // Nobody waits for longer than the class allows, whatever the header says.
         long wait = Math.min(number(message, "Req-Deadline-Ms"), kind.rules().deadline() / 1_000_000);
         long cost = message.headers().contains("Req-Cost") ? number(message, "Req-Cost") * 1000 : 0;
-        return new Job(kind, tenant, key(path), wait, cost,
+        return new Job<>(kind, tenant, key(path), wait, cost,
                 "1".equals(message.headers().get("Req-Retry")), semantics != Semantics.REPEATABLE,
                 new Message(method, message.uri(), message.headers()), body);
     }
--- a/sidecar/src/main/java/topazvalve/sidecar/http/Message.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/http/Message.java
@@ -3,5 +3,5 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 
-/** What a client asked, in HTTP's terms: for the upstreams' side alone, the engine hands it on unseen. */
+/** What a client asked, in HTTP's terms: for the upstreams' side alone. */
 public record Message(HttpMethod method, String uri, HttpHeaders headers) { }
--- a/sidecar/src/main/java/topazvalve/sidecar/listen/ClientListener.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/listen/ClientListener.java
@@ -13,7 +13,7 @@
 import java.nio.channels.ServerSocketChannel;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import topazvalve.sidecar.stream.ByteBudget;
+import topazvalve.core.stream.ByteBudget;
 
 /** Takes clients' connections, from a socket that it binds or from one that was handed down. */
 public final class ClientListener {
--- a/sidecar/src/main/java/topazvalve/sidecar/upstream/Connection.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/upstream/HttpCarrier.java
@@ -1,17 +1,10 @@
 package topazvalve.sidecar.upstream;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -30,20 +23,22 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import topazvalve.core.pool.Attempt;
+import topazvalve.core.pool.Carrier;
+import topazvalve.core.pool.PooledConnection;
+import topazvalve.core.stream.Source;
 import topazvalve.decisions.Balancer.Outcome;
 import topazvalve.sidecar.http.Answer;
 import topazvalve.sidecar.http.Headers;
-import topazvalve.sidecar.stream.ByteBudget;
-import topazvalve.sidecar.stream.Source;
+import topazvalve.sidecar.http.Message;
 
 /**
- * One connection, one request at a time. An answer counts once all that came with it has been read: only
- * then is it known whether more has come than was asked for, and whether the next request may follow.
+ * HTTP on one connection, one request at a time. An answer counts once all that came with it has been read:
+ * only then is it known whether more has come than was asked for, and whether the next request may follow.
  */
-final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Source {
+final class HttpCarrier extends SimpleChannelInboundHandler<HttpObject>
+        implements Carrier<Message, Answer>, Source {
     private static final Logger LOG = LoggerFactory.getLogger("upstream");
-    private static final RecvByteBufAllocator READS =
-            new AdaptiveRecvByteBufAllocator(64, 2048, ByteBudget.LEAST);
     /** Up to here an answer is held until it is whole, and a spoilt one can be tried again elsewhere. */
     private static final int LARGEST_HELD = 1 << 16;
     private static final int LARGEST_ANSWER = 1 << 25;
@@ -53,13 +48,11 @@
     private static final long STALL = 30_000_000_000L;
     /** Some answers come behind interim ones; more than a few are no way to an answer. */
     private static final int MOST_INTERIM = 16;
-    private final Upstreams owner;
-    private final EventLoop loop;
-    private final Pool pool;
+    private final LoadReports reports;
+    private final PooledConnection<Message, Answer> connection;
     private final AnswerDecoder decoder = new AnswerDecoder();
     private Channel channel;
-    private Attempt current;
-    private long idleSince;
+    private Attempt<Message, Answer> current;
     private HttpResponse head;
     private HttpHeaders headers;
     private ByteArrayOutputStream body;
@@ -74,66 +67,41 @@
     private boolean whole;
     private boolean soiled;
 
-    Connection(Upstreams owner, EventLoop loop, Pool pool) {
-        this.owner = owner;
-        this.loop = loop;
-        this.pool = pool;
+    HttpCarrier(LoadReports reports, PooledConnection<Message, Answer> connection) {
+        this.reports = reports;
+        this.connection = connection;
     }
 
-    void open(Attempt first) {
-        current = first;
-        first.connection = this;
-        new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, owner.connectTimeoutMs())
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, READS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel made) {
-                        channel = made;
-                        owner.opened();
-                        made.closeFuture().addListener(closed -> owner.closed());
-                        made.pipeline().addLast(new HttpRequestEncoder(), decoder, Connection.this);
-                    }
-                })
-                .connect(pool.address)
-                .addListener(done -> {
-                    if (channel == null) {
-                        // No socket could be made, which is no fault of the upstream's; told elsewhere.
-                        loop.execute(() -> first.end(Outcome.NEVER_SENT));
-                    } else if (!done.isSuccess()) {
-                        first.broken();
-                    } else if (first.over) {
-                        close();
-                    } else {
-                        write(first);
-                    }
-                });
+    @Override
+    public void prepare(Channel made) {
+        channel = made;
+        made.pipeline().addLast(new HttpRequestEncoder(), decoder, this);
     }
 
-    void write(Attempt attempt) {
+    @Override
+    public void carry(Attempt<Message, Answer> attempt) {
         current = attempt;
-        attempt.connection = this;
+        attempt.writing();
         interim = 0;
-        channel.write(Exchange.head(attempt));
-        attempt.body.read(this::pump);
+        channel.write(Heads.head(attempt));
+        attempt.body().read(this::pump);
         moved();
         pump();
-        if (!attempt.handedOn) {
+        if (!attempt.handedOn()) {
             watchStall(STALL);
         }
     }
 
     /** Writes what there is of the request's body, as long as the upstream takes it. */
     private void pump() {
-        Attempt attempt = current;
-        if (attempt == null || attempt.over || attempt.handedOn || pumping) {
+        Attempt<Message, Answer> attempt = current;
+        if (attempt == null || attempt.over() || attempt.handedOn() || pumping) {
             return;
         }
         // A write tells of a change of writability from within the encoder: not to be entered again.
         pumping = true;
         while (channel.isWritable()) {
-            ByteBuf piece = attempt.body.next();
+            ByteBuf piece = attempt.body().next();
             if (piece == null) {
                 break;
             }
@@ -141,17 +109,14 @@
             channel.write(new DefaultHttpContent(piece));
         }
         pumping = false;
-        if (!attempt.body.drained()) {
+        if (!attempt.body().drained()) {
             channel.flush();
             return;
         }
-        attempt.handedOn = true;
-        attempt.body.stopReading();
+        attempt.handOn();
         channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(done -> {
             if (done.isSuccess()) {
-                attempt.written = true;
-                attempt.listener.written();
-                pool.unwritten.remove(attempt);
+                attempt.wrote();
             } else {
                 attempt.broken();
             }
@@ -170,8 +135,8 @@
 
     /** An upstream that could go on with a body and does not for long ends the attempt. */
     private void checkStall() {
-        Attempt attempt = current;
-        if (attempt == null || attempt.over || attempt.handedOn && !passing) {
+        Attempt<Message, Answer> attempt = current;
+        if (attempt == null || attempt.over() || attempt.handedOn() && !passing) {
             return;
         }
         boolean waits = passing ? channel.config().isAutoRead() : !channel.isWritable();
@@ -185,7 +150,7 @@
 
     private void watchStall(long delay) {
         unwatchStall();
-        stall = loop.schedule(this::checkStall, delay, TimeUnit.NANOSECONDS);
+        stall = channel.eventLoop().schedule(this::checkStall, delay, TimeUnit.NANOSECONDS);
     }
 
     private void unwatchStall() {
@@ -194,33 +159,25 @@
         }
     }
 
-    /** When it was last given back; {@link System#nanoTime}. */
-    long idleSince() {
-        return idleSince;
-    }
-
-    /** Whether something has come that nobody asked for. */
-    boolean unasked() {
+    @Override
+    public boolean spoilt() {
         return decoder.holds();
     }
 
-    void close() {
-        pool.idle.remove(this);
+    @Override
+    public void closing() {
         unwatchStall();
         unhold();
-        if (channel != null) {
-            channel.close();
-        }
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-        if (current == null || current.over || whole || message.decoderResult().isFailure()) {
-            spoilt();
+        if (current == null || current.over() || whole || message.decoderResult().isFailure()) {
+            spoil();
             return;
         }
         if (message instanceof HttpResponse response && !begin(response)) {
-            spoilt();
+            spoil();
             return;
         }
         if (message instanceof HttpContent content && head != null) {
@@ -230,9 +187,9 @@
             whole = message instanceof LastHttpContent;
             if (received > LARGEST_ANSWER || received > LARGEST_HELD && !mayPass()) {
                 whole = false;
-                spoilt();
+                spoil();
             } else if (passing) {
-                current.listener.more(bytes.retain());
+                current.more(bytes.retain());
             } else {
                 body.writeBytes(ByteBufUtil.getBytes(bytes));
                 if (!whole && mayPass() && body.size() > 0) {
@@ -242,13 +199,13 @@
         }
     }
 
-    private void holdOrPass(Attempt attempt) {
+    private void holdOrPass(Attempt<Message, Answer> attempt) {
         long length = HttpUtil.getContentLength(head, -1L);
         if (Math.max(received, length) > LARGEST_HELD) {
             pass();
         } else if (length < 0 && held == null) {
-            held = loop.schedule(() -> {
-                if (current == attempt && !attempt.over && !passing && !whole) {
+            held = channel.eventLoop().schedule(() -> {
+                if (current == attempt && !attempt.over() && !passing && !whole) {
                     pass();
                 }
             }, LONGEST_HELD, TimeUnit.NANOSECONDS);
@@ -257,18 +214,17 @@
 
     /** Whether this is an answer to the request: it was served, and all of it had been sent. */
     private boolean mayPass() {
-        return current.written && head.status().code() == 200;
+        return current.written() && head.status().code() == 200;
     }
 
     /** From now on the answer goes on as it comes, and only a stand-still ends it. */
     private void pass() {
         passing = true;
         unhold();
-        Answer first = new Answer(headers, body.toByteArray());
+        Answer first = new Answer(head.status(), headers, body.toByteArray());
         body = null;
-        current.unlimited();
         watchStall(STALL);
-        current.listener.begun(current, first, HttpUtil.getContentLength(head, -1L), this);
+        current.begin(first, HttpUtil.getContentLength(head, -1L), this);
     }
 
     private void unhold() {
@@ -324,21 +280,21 @@
         if (!whole) {
             return;
         }
-        Attempt attempt = current;
-        if (attempt.over) {
-            close();
+        Attempt<Message, Answer> attempt = current;
+        if (attempt.over()) {
+            connection.close();
             return;
         }
         HttpResponse response = head;
-        Outcome outcome = attempt.written || response.status().code() != 200 ? Exchange.outcome(response)
+        // Served before it had all been sent: that can't be.
+        Outcome outcome = attempt.written() || response.status().code() != 200 ? Heads.outcome(response)
                 : Outcome.ERROR;
-        float[] load = owner.reports().read(response,
-                attempt.message.uri().equals(LoadReport.PATH) && body != null
+        float[] load = reports.read(response,
+                attempt.message().uri().equals(LoadReports.PATH) && body != null
                         ? body.toString(StandardCharsets.UTF_8) : null);
         Answer answer = outcome == Outcome.OK && !passing
-                ? new Answer(headers, body.toByteArray()) : null;
-        boolean reusable = HttpUtil.isKeepAlive(response) && attempt.written && pool.ready && !soiled
-                && !decoder.holds() && channel.isActive();
+                ? new Answer(response.status(), headers, body.toByteArray()) : null;
+        boolean reusable = HttpUtil.isKeepAlive(response) && attempt.written() && !soiled && !decoder.holds();
         current = null;
         head = null;
         headers = null;
@@ -351,23 +307,22 @@
             channel.config().setAutoRead(true);
         }
         if (reusable) {
-            idleSince = System.nanoTime();
-            pool.idle.addLast(this);
+            connection.giveBack();
         } else {
-            close();
+            connection.close();
         }
         attempt.end(outcome, answer, load);
     }
 
     /** Something came that is no answer or not asked for. What is whole already stays good. */
-    private void spoilt() {
+    private void spoil() {
         if (whole) {
             soiled = true;
         } else if (current != null) {
             current.end(Outcome.ERROR);
         }
         if (!whole) {
-            close();
+            connection.close();
         }
     }
 
@@ -379,17 +334,17 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (cause instanceof DecoderException) {
-            spoilt();
+            spoil();
         } else {
             if (!(cause instanceof IOException)) {
-                LOG.error("{}: connection failed", pool.address, cause);
+                LOG.error("{}: connection failed", connection.address(), cause);
             }
             lost();
         }
     }
 
     private void lost() {
-        close();
+        connection.close();
         if (current != null) {
             current.broken();
         }
--- /dev/null
+++ b/sidecar/src/main/java/topazvalve/sidecar/upstream/HttpCodec.java
@@ -0,0 +1,35 @@
+package topazvalve.sidecar.upstream;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import topazvalve.core.pool.Carrier;
+import topazvalve.core.pool.Codec;
+import topazvalve.core.pool.PooledConnection;
+import topazvalve.decisions.Options;
+import topazvalve.sidecar.http.Answer;
+import topazvalve.sidecar.http.Message;
+
+/** HTTP/1.1 towards order servers. */
+public final class HttpCodec implements Codec<Message, Answer> {
+    private static final long PROBE_TIMEOUT = 250_000_000;
+
+    private final LoadReports reports = new LoadReports();
+
+    @Override
+    public Carrier<Message, Answer> carrier(PooledConnection<Message, Answer> connection) {
+        return new HttpCarrier(reports, connection);
+    }
+
+    /** For a server's load report where the deployment has reports, else for its health. */
+    @Override
+    public Probe<Message> probe() {
+        return new Probe<>(new Message(HttpMethod.GET, reports.path(),
+                new DefaultHttpHeaders().set(HttpHeaderNames.HOST, "app.svc")), PROBE_TIMEOUT);
+    }
+
+    @Override
+    public void retune(Options options) {
+        reports.take(options.list("report.fields"));
+    }
+}
--- a/sidecar/src/main/java/topazvalve/sidecar/upstream/LoadReport.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/upstream/LoadReports.java
@@ -10,14 +10,15 @@
  * The load reports of a deployment: the names of their values, in the order that the settings give, and how
  * one is read. A report that can't be read is none; it spoils nothing else.
  */
-final class LoadReport {
+final class LoadReports {
     static final String PATH = "/metrics/load";
     static final float[] NONE = {};
 
-    private final List<String> fields;
+    private List<String> fields = List.of();
 
-    LoadReport(List<String> fields) {
-        this.fields = fields;
+    /** From now on these are the names. */
+    void take(List<String> names) {
+        fields = names;
     }
 
     /** Where a probe asks: for the report where the deployment has reports, else for the health. */
--- a/sidecar/src/test/java/topazvalve/sidecar/Bed.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/Bed.java
@@ -14,15 +14,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import topazvalve.sidecar.admin.AdminServer;
-import topazvalve.sidecar.classes.ClassTable;
 import topazvalve.sidecar.config.Config;
 import topazvalve.sidecar.json.Json;
-import topazvalve.sidecar.engine.Engine;
+import topazvalve.core.exchange.Exchanges;
+import topazvalve.sidecar.http.Message;
 import topazvalve.sidecar.front.Frontend;
-import topazvalve.sidecar.lifecycle.Lifecycle;
+import topazvalve.core.lifecycle.Lifecycle;
 import topazvalve.sidecar.listen.ClientListener;
-import topazvalve.sidecar.metrics.Metrics;
-import topazvalve.sidecar.stream.ByteBudget;
+import topazvalve.core.metrics.Metrics;
 
 /** A sidecar in this process, with its upstreams known from the start, and a client for it. */
 final class Bed implements AutoCloseable {
@@ -37,7 +36,8 @@
     final Metrics metrics = new Metrics();
     final Frontend frontend;
     final ClientListener clients;
-    final Engine engine;
+    final HttpSide side;
+    final Exchanges<Message, topazvalve.sidecar.http.Answer> engine;
     final InetSocketAddress address;
     final InetSocketAddress admin;
 
@@ -46,11 +46,10 @@
 
     Bed(ObjectNode json) throws Exception {
         Config config = config(json);
-        ClassTable classes = new ClassTable();
-        engine = new Engine(loop, config, MOST, metrics, classes);
-        frontend = new Frontend(loop, engine, classes, config.options().names("parties"), MOST, lifecycle,
-                new ByteBudget(config.bodyBytes()));
-        loop.submit(() -> engine.start(config.known())).sync();
+        side = new HttpSide(loop, config, MOST, MOST, metrics, lifecycle);
+        frontend = side.front();
+        engine = side.exchanges();
+        loop.submit(() -> side.start(config)).sync();
         clients = ClientListener.binding(config.listen());
         address = (InetSocketAddress) clients.open(group, frontend.connections()).sync().channel()
                 .localAddress();
--- a/sidecar/src/test/java/topazvalve/sidecar/ConfigTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/ConfigTest.java
@@ -14,7 +14,7 @@
 import topazvalve.decisions.Balancer.Semantics;
 import topazvalve.decisions.Balancer.Settings;
 import topazvalve.sidecar.config.Config;
-import topazvalve.sidecar.net.Addresses;
+import topazvalve.core.net.Addresses;
 
 /** The configuration, and the settings in it as the module is told them. */
 class ConfigTest {
--- a/sidecar/src/test/java/topazvalve/sidecar/DiscoveryTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/DiscoveryTest.java
@@ -15,7 +15,7 @@
 import topazvalve.decisions.Balancer.ListKind;
 import topazvalve.decisions.Balancer.State;
 import topazvalve.sidecar.discovery.Discovery;
-import topazvalve.sidecar.discovery.Target;
+import topazvalve.core.servers.Target;
 
 /** The list and its watch against a discovery that answers in awkward ways. */
 class DiscoveryTest {
--- a/sidecar/src/test/java/topazvalve/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/SidecarTest.java
@@ -19,14 +19,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
-import topazvalve.sidecar.classes.ClassTable;
+import topazvalve.core.classes.ClassTable;
 import topazvalve.sidecar.config.Config;
-import topazvalve.sidecar.engine.Client;
-import topazvalve.sidecar.engine.Job;
+import topazvalve.core.exchange.Client;
+import topazvalve.core.exchange.Job;
 import topazvalve.sidecar.http.Answer;
 import topazvalve.sidecar.http.Message;
-import topazvalve.sidecar.stream.RequestBody;
-import topazvalve.sidecar.stream.Source;
+import topazvalve.core.stream.RequestBody;
+import topazvalve.core.stream.Source;
 
 /** The whole sidecar between a client and upstreams on loopback. */
 class SidecarTest {
@@ -300,7 +300,7 @@
             profiles.addObject().put("name", "fresh").put("slo", 1_000_000_000L)
                     .put("deadline", 2_000_000_000L).put("semantics", "repeatable");
             Config next = Bed.config(json);
-            bed.loop.submit(() -> bed.engine.reconfigure(next)).sync();
+            bed.loop.submit(() -> bed.side.reconfigure(next)).sync();
             assertEquals(400, bed.ask(Bed.look("a")).status(), "an unsafe class takes no GET");
             assertEquals(400, bed.ask(Bed.post("hold", "Idempotency-Key: 1\r\n", "")).status(), "went");
             assertTrue(bed.loop.submit(() -> bed.metrics.text(bed.engine)).get()
@@ -320,6 +320,48 @@
         }
     }
 
+    /** RFC 9112 3.2: without Host it is answered at once, and no order server hears of it. */
+    @Test
+    void requestWithoutHostIsTurnedAwayHere() throws Exception {
+        try (Stub upstream = Stub.serving("x"); Bed bed = Bed.with(upstream)) {
+            assertEquals(400, bed.ask(Bed.look("a").replaceFirst("Host: [^\r]*\r\n", "")).status());
+            assertEquals(0, upstream.heads.size());
+        }
+    }
+
+    /** RFC 9112 3.2.2: its host goes before the header's, and order servers see the origin's form. */
+    @Test
+    void targetInAbsoluteFormIsTaken() throws Exception {
+        try (Stub upstream = Stub.serving("x"); Bed bed = Bed.with(upstream)) {
+            String asked = Bed.look("a");
+            String path = asked.substring(4, asked.indexOf(' ', 4));
+            assertEquals(200, bed.ask(asked.replace("GET /", "GET HTTP://other.svc:81/")).status());
+            String head = upstream.heads.iterator().next();
+            assertTrue(head.startsWith("GET " + path + " ") && head.contains("other.svc:81")
+                    && !head.contains("app.svc"), head);
+            bed.lifecycle.started();
+            assertEquals(200, bed.ask("GET http://app.svc/up HTTP/1.1\r\nHost: app.svc\r\n\r\n").status());
+            assertEquals(404, bed.ask("GET http://app.svc?a HTTP/1.1\r\nHost: app.svc\r\n\r\n").status());
+            assertEquals(400, bed.ask("GET http:/// HTTP/1.1\r\nHost: app.svc\r\n\r\n").status());
+        }
+    }
+
+    /** What callers did wrong they are told as the server told it; no second server, none avoided. */
+    @Test
+    void callersFaultsDoNotMakeAServerLookIll() throws Exception {
+        Stub.Script wrong = (socket, head) -> Stub.reply(socket, "422 Unprocessable Content", "", "qty");
+        try (Stub one = new Stub(wrong); Stub two = new Stub(wrong); Bed bed = Bed.with(one, two)) {
+            for (int i = 0; i < 50; i++) {
+                Bed.Answer answer = bed.ask(Bed.look("w" + i));
+                assertEquals(422, answer.status());
+                assertEquals("qty", answer.body());
+            }
+            assertEquals(50, one.heads.size() + two.heads.size());
+            assertTrue(bed.loop.submit(() -> bed.metrics.text(bed.engine)).get()
+                    .contains("app.pool_ejected=0\n"));
+        }
+    }
+
     @Test
     void drainingSidecarAnswersWhatItHoldsAndEndsItsConnections() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
@@ -464,9 +506,9 @@
     private static WeakReference<RequestBody> answered(Bed bed) throws Exception {
         RequestBody body = RequestBody.of(new byte[1000]);
         CountDownLatch done = new CountDownLatch(1);
-        Job job = new Job(new ClassTable.Entry(2, "book", null), 0, 0, 600_000, 0, false,
+        Job<Message> job = new Job<>(new ClassTable.Entry(2, "book", null), 0, 0, 600_000, 0, false,
                 true, new Message(HttpMethod.POST, "/api/x", new DefaultHttpHeaders()), body);
-        bed.loop.execute(() -> bed.engine.submit(job, new Client() {
+        bed.loop.execute(() -> bed.engine.submit(job, new Client<Answer>() {
             @Override
             public void served(Answer answer) {
                 done.countDown();
--- a/sidecar/src/test/java/topazvalve/sidecar/UpstreamsTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/UpstreamsTest.java
@@ -26,10 +26,12 @@
 import topazvalve.decisions.Options;
 import topazvalve.sidecar.http.Answer;
 import topazvalve.sidecar.http.Message;
-import topazvalve.sidecar.stream.RequestBody;
-import topazvalve.sidecar.upstream.Attempt;
-import topazvalve.sidecar.upstream.AttemptListener;
-import topazvalve.sidecar.upstream.Upstreams;
+import topazvalve.core.stream.RequestBody;
+import topazvalve.core.pool.Attempt;
+import topazvalve.core.pool.AttemptListener;
+import topazvalve.core.pool.Pools;
+import topazvalve.core.time.LoopTime;
+import topazvalve.sidecar.upstream.HttpCodec;
 
 /** Attempts and probes on real connections, and what they end as. */
 class UpstreamsTest {
@@ -45,22 +47,24 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
-    private Upstreams upstreams(InetSocketAddress address, long connectTimeout, int most) throws Exception {
+    private Pools<Message, Answer> upstreams(InetSocketAddress address, long connectTimeout,
+            int most) throws Exception {
         Options options = new Options("caps.connectTimeout=" + connectTimeout
                 + "\ncaps.connIdle=60000000000\nreport.fields=rate,q");
         return loop.submit(() -> {
-            Upstreams made = new Upstreams(loop, options, most);
+            Pools<Message, Answer> made = new Pools<>(loop, new LoopTime(loop), options, new HttpCodec(),
+                    most);
             made.listed(1, address, 0, true);
             return made;
         }).get();
     }
 
-    private void send(Upstreams upstreams) {
+    private void send(Pools<Message, Answer> upstreams) {
         loop.execute(() -> send(upstreams, 1, get("/api/x"), this::ended));
     }
 
-    private static Attempt send(Upstreams upstreams, long to, Message message,
-            AttemptListener listener) {
+    private static Attempt<Message, Answer> send(Pools<Message, Answer> upstreams, long to, Message message,
+            AttemptListener<Message, Answer> listener) {
         return upstreams.send(to, message, RequestBody.of(new byte[0]), LONG, listener);
     }
 
@@ -89,7 +93,7 @@
         try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             List<Socket> fillers = fill(full);
             InetSocketAddress address = (InetSocketAddress) full.getLocalSocketAddress();
-            Upstreams upstreams = upstreams(address, LONG, 10);
+            Pools<Message, Answer> upstreams = upstreams(address, LONG, 10);
             send(upstreams);
             loop.execute(() -> upstreams.listed(1, address, 0, false));
             assertEquals(Outcome.CONNECT_FAILED, Stub.next(outcomes));
@@ -118,7 +122,7 @@
     @Test
     void connectionsToTheProcessBeforeARestartAreClosed() throws Exception {
         try (Stub upstream = Stub.serving("x")) {
-            Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
+            Pools<Message, Answer> upstreams = upstreams(upstream.address(), LONG, 10);
             send(upstreams);
             assertEquals(Outcome.OK, Stub.next(outcomes));
             loop.execute(() -> upstreams.listed(1, upstream.address(), 1_700_000_000_000L, true));
@@ -132,7 +136,7 @@
     @Test
     void connectionsAreBounded() throws Exception {
         try (Stub silent = new Stub((socket, head) -> true)) {
-            Upstreams upstreams = upstreams(silent.address(), LONG, 2);
+            Pools<Message, Answer> upstreams = upstreams(silent.address(), LONG, 2);
             send(upstreams);
             send(upstreams);
             Stub.next(silent.heads);
@@ -150,7 +154,7 @@
         try (Stub upstream = new Stub((socket, head) -> head.startsWith("GET /metrics/load")
                 ? Stub.reply(socket, "200 OK", "", "{\"rate\":7,\"q\":0}")
                 : Stub.reply(socket, "200 OK", "Srv-Load: " + Stub.header(head, "Say") + "\r\n", "x"))) {
-            Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
+            Pools<Message, Answer> upstreams = upstreams(upstream.address(), LONG, 10);
             for (String text : texts) {
                 Message message = get("/");
                 message.headers().set("Say", text);
@@ -191,7 +195,7 @@
             try (Stub upstream = new Stub((socket, head) -> head.startsWith("GET /first")
                     ? Stub.reply(socket, "200 OK", "", "first" + extra, 5)
                     : Stub.reply(socket, "200 OK", "", "second"))) {
-                Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
+                Pools<Message, Answer> upstreams = upstreams(upstream.address(), LONG, 10);
                 BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
                 loop.execute(() -> send(upstreams, 1, get("/first"), (outcome, answer, load) -> {
                     bodies.add(text(answer));
@@ -246,7 +250,7 @@
             Stub.write(socket, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n");
             return Stub.reply(socket, "200 OK", "Srv-Load: \u0001{\"rate\":1e99,\"q\":-3}\r\n", "x");
         })) {
-            Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
+            Pools<Message, Answer> upstreams = upstreams(upstream.address(), LONG, 10);
             for (int i = 0; i < 3; i++) {
                 send(upstreams);
                 assertEquals(Outcome.OK, Stub.next(outcomes));
@@ -260,7 +264,7 @@
     @Test
     void idleConnectionsMakeRoom() throws Exception {
         try (Stub first = Stub.serving("x"); Stub second = Stub.serving("y")) {
-            Upstreams upstreams = upstreams(first.address(), LONG, 1);
+            Pools<Message, Answer> upstreams = upstreams(first.address(), LONG, 1);
             send(upstreams);
             assertEquals(Outcome.OK, Stub.next(outcomes));
             loop.execute(() -> {
@@ -275,7 +279,7 @@
     @Test
     void goneUpstreamTakesNothing() throws Exception {
         try (Stub upstream = Stub.serving("x")) {
-            Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
+            Pools<Message, Answer> upstreams = upstreams(upstream.address(), LONG, 10);
             loop.execute(() -> upstreams.gone(1));
             send(upstreams);
             assertEquals(Outcome.CONNECT_FAILED, Stub.next(outcomes));
--- /dev/null
+++ b/tcp/src/main/java/topazvalve/tcp/Opening.java
@@ -0,0 +1,6 @@
+package topazvalve.tcp;
+
+import java.net.InetSocketAddress;
+
+/** A stream that is to be opened: who called whom, as servers may be told. */
+record Opening(InetSocketAddress caller, InetSocketAddress called) { }
--- /dev/null
+++ b/tcp/src/main/java/topazvalve/tcp/TcpFront.java
@@ -0,0 +1,124 @@
+package topazvalve.tcp;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import topazvalve.core.Front;
+import topazvalve.core.classes.ClassTable;
+import topazvalve.core.exchange.Exchanges;
+import topazvalve.core.exchange.Job;
+import topazvalve.core.stream.ByteBudget;
+import topazvalve.core.stream.RequestBody;
+import topazvalve.core.time.Time;
+import topazvalve.tcp.StreamCounts.Refused;
+
+/** Takes streams, within a listener's limits, and hands each to the core as an exchange that runs once. */
+final class TcpFront implements Front {
+    /** The one class of a listener's streams. */
+    static final String CLASS = "stream";
+
+    private final Exchanges<Opening, Link> exchanges;
+    private final ClassTable classes;
+    private final Supplier<TcpSettings> settings;
+    private final StreamCounts counts;
+    private final Time time;
+    private final ByteBudget budget;
+    private final BooleanSupplier ending;
+    private final Set<ClientStream> streams = new LinkedHashSet<>();
+    private final Map<InetAddress, Integer> perClient = new HashMap<>();
+
+    TcpFront(Exchanges<Opening, Link> exchanges, ClassTable classes, Supplier<TcpSettings> settings,
+            StreamCounts counts, Time time, ByteBudget budget, BooleanSupplier ending) {
+        this.exchanges = exchanges;
+        this.classes = classes;
+        this.settings = settings;
+        this.counts = counts;
+        this.time = time;
+        this.budget = budget;
+        this.ending = ending;
+    }
+
+    @Override
+    public ChannelHandler connections() {
+        return new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel made) {
+                TcpSettings now = settings.get();
+                InetAddress client = ((InetSocketAddress) made.remoteAddress()).getAddress();
+                ClientStream stream = new ClientStream(TcpFront.this, now, counts, time, made);
+                Refused why = ending.getAsBoolean() ? Refused.ENDING
+                        : streams.size() >= now.mostStreams() ? Refused.STREAMS_FULL
+                        : perClient.getOrDefault(client, 0) >= now.mostPerClient() ? Refused.CLIENT_FULL
+                        : null;
+                if (why != null) {
+                    stream.refuse(why);
+                    return;
+                }
+                counts.taken();
+                streams.add(stream);
+                perClient.merge(client, 1, Integer::sum);
+                made.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+                made.config().setOption(ChannelOption.SO_KEEPALIVE, now.keepAlive());
+                if (now.proxyIn()) {
+                    made.pipeline().addLast(ClientStream.headerDecoder());
+                }
+                made.pipeline().addLast(stream);
+            }
+        };
+    }
+
+    long submit(Opening opening, ClientStream stream) {
+        ClassTable.Entry kind = classes.named(CLASS);
+        return exchanges.submit(new Job<>(kind, 0, 0, settings.get().connectDeadline() / 1_000_000, 0, false,
+                true, opening, RequestBody.of(new byte[0])), stream);
+    }
+
+    void hangup(long exchange) {
+        if (exchange != 0) {
+            exchanges.hangup(exchange);
+        }
+    }
+
+    boolean serversListed() {
+        return exchanges.poolSize() > 0;
+    }
+
+    ByteBudget budget() {
+        return budget;
+    }
+
+    boolean ending() {
+        return ending.getAsBoolean();
+    }
+
+    void left(ClientStream stream, Channel channel) {
+        if (streams.remove(stream)) {
+            counts.closed();
+            perClient.merge(((InetSocketAddress) channel.remoteAddress()).getAddress(), -1,
+                    (have, less) -> have + less == 0 ? null : have + less);
+        }
+    }
+
+    /** This process takes no more streams; those that are open may run on for their grace. */
+    void drain() {
+        List.copyOf(streams).forEach(ClientStream::draining);
+    }
+
+    @Override
+    public boolean empty() {
+        return streams.isEmpty();
+    }
+
+    @Override
+    public void stop() { }
+}
--- a/world/src/main/java/topazvalve/world/scenario/BadScenario.java
+++ b/toml/src/main/java/topazvalve/toml/BadFile.java
@@ -1,14 +1,14 @@
-package topazvalve.world.scenario;
+package topazvalve.toml;
 
 import java.util.List;
 import java.util.stream.Collectors;
 
 /** A file is refused; the message has one line for each fault, and nothing of the file is played. */
-public final class BadScenario extends RuntimeException {
+public final class BadFile extends RuntimeException {
     private static final long serialVersionUID = 1;
     private final transient List<Problem> problems;
 
-    BadScenario(List<Problem> problems) {
+    BadFile(List<Problem> problems) {
         super(problems.stream().map(Problem::toString).collect(Collectors.joining("\n")));
         this.problems = List.copyOf(problems);
     }
--- a/world/src/main/java/topazvalve/world/scenario/KeyLines.java
+++ b/toml/src/main/java/topazvalve/toml/KeyLines.java
@@ -1,4 +1,4 @@
-package topazvalve.world.scenario;
+package topazvalve.toml;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/world/src/main/java/topazvalve/world/scenario/Problem.java
+++ b/toml/src/main/java/topazvalve/toml/Problem.java
@@ -1,4 +1,4 @@
-package topazvalve.world.scenario;
+package topazvalve.toml;
 
 /** One fault of a file: where, which key, and what was meant. */
 public record Problem(String file, int line, String key, String what) {
--- a/world/src/main/java/topazvalve/world/scenario/Range.java
+++ b/toml/src/main/java/topazvalve/toml/Range.java
@@ -1,4 +1,4 @@
-package topazvalve.world.scenario;
+package topazvalve.toml;
 
 /** Between two numbers, both included; each thing that has one draws its own value. */
 public record Range(double low, double high) {
--- a/world/src/main/java/topazvalve/world/scenario/Table.java
+++ b/toml/src/main/java/topazvalve/toml/Table.java
@@ -1,4 +1,4 @@
-package topazvalve.world.scenario;
+package topazvalve.toml;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -16,7 +16,7 @@
  * One table of a file while it is read. Every key is asked for once, with what it may be; a fault is noted
  * and reading goes on, so that a file's faults are told all at once. What nobody asked for is a fault too.
  */
-final class Table {
+public final class Table {
     private static final Pattern DURATION = Pattern.compile("([0-9]+(?:\\.[0-9]+)?)(us|ms|s|m)");
     private static final Map<String, Double> UNITS = Map.of("us", 1e3, "ms", 1e6, "s", 1e9, "m", 60e9);
     private static final double LONGEST = 86_400e9;
@@ -29,7 +29,7 @@
     private final Set<String> asked = new LinkedHashSet<>();
     private final List<Table> inner = new ArrayList<>();
 
-    Table(String file, KeyLines lines, List<Problem> problems, String path, JsonNode node) {
+    public Table(String file, KeyLines lines, List<Problem> problems, String path, JsonNode node) {
         this.file = file;
         this.lines = lines;
         this.problems = problems;
@@ -42,13 +42,13 @@
     }
 
     /** Notes a fault of this key. */
-    void wrong(String key, String what) {
+    public void wrong(String key, String what) {
         String full = key.isEmpty() ? path : at(key);
         problems.add(new Problem(file, lines.of(full), full, what));
     }
 
     /** Whether the file gives this key. */
-    boolean has(String key) {
+    public boolean has(String key) {
         asked.add(key);
         return node.has(key);
     }
@@ -63,7 +63,7 @@
     }
 
     /** Nanoseconds from a text such as {@code "250ms"}; {@code absent} null makes the key required. */
-    long duration(String key, String absent, String least, String most) {
+    public long duration(String key, String absent, String least, String most) {
         String meant = "a duration from " + least + " to " + most
                 + " in quotes, such as \"250ms\" (us, ms, s, m)";
         JsonNode value = value(key, absent == null, meant);
@@ -89,7 +89,7 @@
     }
 
     /** A number within bounds; {@code absent} null makes the key required. */
-    double number(String key, Double absent, double least, double most) {
+    public double number(String key, Double absent, double least, double most) {
         String meant = "a number from " + text(least) + " to " + text(most);
         JsonNode value = value(key, absent == null, meant);
         if (value == null) {
@@ -103,7 +103,7 @@
     }
 
     /** Two numbers within bounds, the lower one first, or one number for both. */
-    Range range(String key, Range absent, double least, double most) {
+    public Range range(String key, Range absent, double least, double most) {
         String meant = "a number, or two in brackets, from " + text(least) + " to " + text(most);
         JsonNode value = value(key, absent == null, meant);
         if (value == null) {
@@ -121,7 +121,7 @@
     }
 
     /** A whole number within bounds; {@code absent} null makes the key required. */
-    int whole(String key, Integer absent, int least, int most) {
+    public int whole(String key, Integer absent, int least, int most) {
         String meant = "a whole number from " + least + " to " + most;
         JsonNode value = value(key, absent == null, meant);
         if (value == null) {
@@ -139,7 +139,7 @@
     }
 
     /** True or false. */
-    boolean flag(String key, boolean absent) {
+    public boolean flag(String key, boolean absent) {
         JsonNode value = value(key, false, "");
         if (value != null && !value.isBoolean()) {
             wrong(key, value + " is neither true nor false");
@@ -149,7 +149,7 @@
     }
 
     /** One word of a set, in small letters with dashes; {@code absent} null makes the key required. */
-    <E extends Enum<E>> E choice(Class<E> type, String key, E absent) {
+    public <E extends Enum<E>> E choice(Class<E> type, String key, E absent) {
         E[] all = type.getEnumConstants();
         String meant = "one of " + String.join(", ", Arrays.stream(all).map(Table::word).toList());
         JsonNode value = value(key, absent == null, meant);
@@ -165,12 +165,12 @@
         return all[0];
     }
 
-    static String word(Enum<?> value) {
+    public static String word(Enum<?> value) {
         return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
     /** A text that is not empty; {@code absent} null makes the key required. */
-    String text(String key, String absent) {
+    public String text(String key, String absent) {
         JsonNode value = value(key, absent == null, "a text in quotes");
         if (value == null) {
             return absent == null ? "" : absent;
@@ -183,7 +183,7 @@
     }
 
     /** Some texts, one at least. */
-    List<String> texts(String key, List<String> absent) {
+    public List<String> texts(String key, List<String> absent) {
         JsonNode value = value(key, absent == null, "a list of texts");
         if (value == null) {
             return absent == null ? List.of() : absent;
@@ -199,7 +199,7 @@
     }
 
     /** An inner table; empty where the file has none. */
-    Table table(String key) {
+    public Table table(String key) {
         JsonNode value = value(key, false, "");
         if (value != null && !value.isObject()) {
             wrong(key, "is not a table [" + at(key) + "]");
@@ -212,7 +212,7 @@
     }
 
     /** An array of tables; {@code least} is how many there must be. */
-    List<Table> tables(String key, int least) {
+    public List<Table> tables(String key, int least) {
         JsonNode value = value(key, least > 0, "[[" + at(key) + "]] has to be given " + least
                 + " times or more");
         List<Table> made = new ArrayList<>();
@@ -232,7 +232,7 @@
     }
 
     /** Notes every key, here and further in, that nobody asked for. */
-    void finish() {
+    public void finish() {
         node.fieldNames().forEachRemaining(key -> {
             if (!asked.contains(key)) {
                 wrong(key, "unknown key" + near(key, asked));
--- a/world/src/main/java/topazvalve/world/scenario/ExperimentFile.java
+++ b/world/src/main/java/topazvalve/world/scenario/ExperimentFile.java
@@ -1,23 +1,21 @@
 package topazvalve.world.scenario;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import topazvalve.toml.BadFile;
+import topazvalve.toml.Table;
+import topazvalve.toml.TomlFile;
 import topazvalve.world.policy.Policy;
 
 /** Reads an experiment from TOML: which scenarios, arms and seeds. Strict, as {@link ScenarioFile} is. */
 public final class ExperimentFile {
-    private static final TomlMapper TOML = new TomlMapper();
     private static final Pattern SEEDS = Pattern.compile("([0-9]{1,9})(?:\\.\\.([0-9]{1,9}))?");
     private static final int MOST_SEEDS = 10_000;
 
@@ -31,19 +29,12 @@
 
     private ExperimentFile() { }
 
-    /** Reads a file; {@link BadScenario} if it has faults. */
+    /** Reads a file; {@link BadFile} if it has faults. */
     public static Experiment read(Path file) throws IOException {
-        String text = Files.readString(file);
-        List<Problem> problems = new ArrayList<>();
-        JsonNode root;
-        try {
-            root = TOML.readTree(text);
-        } catch (JsonProcessingException e) {
-            int line = e.getLocation() == null ? 1 : Math.max(1, e.getLocation().getLineNr());
-            throw new BadScenario(List.of(new Problem(file.toString(), line, "", "not TOML: "
-                    + e.getOriginalMessage().replaceAll("\\s*\\R.*", ""))));
-        }
-        Table table = new Table(file.toString(), new KeyLines(text), problems, "", root);
+        return TomlFile.parse(file.toString(), Files.readString(file), table -> experiment(file, table));
+    }
+
+    private static Experiment experiment(Path file, Table table) {
         String name = table.text("name", null);
         List<Path> scenarios = new ArrayList<>();
         for (String each : table.texts("scenarios", null)) {
@@ -69,11 +60,6 @@
             arms.add(new ArmSpec(armName, policy, arm.whole("attempts", 0, 0, 4), arm.flag("cancel", true),
                     arm.flag("probes", true), arm.flag("retry_after", true)));
         }
-        table.finish();
-        if (!problems.isEmpty()) {
-            problems.sort(Comparator.comparingInt(Problem::line));
-            throw new BadScenario(problems);
-        }
         return new Experiment(name, scenarios, seeds[0], seeds[1], arms);
     }
 
--- a/world/src/main/java/topazvalve/world/scenario/Fault.java
+++ b/world/src/main/java/topazvalve/world/scenario/Fault.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumSet;
 import java.util.Set;
+import topazvalve.toml.Table;
 
 /**
  * One thing that goes wrong; times in nanoseconds from the start of the run.
--- a/world/src/main/java/topazvalve/world/scenario/MachineKind.java
+++ b/world/src/main/java/topazvalve/world/scenario/MachineKind.java
@@ -1,5 +1,8 @@
 package topazvalve.world.scenario;
 
+import topazvalve.toml.Range;
+import topazvalve.toml.Table;
+
 /**
  * A kind of order server; times in nanoseconds.
  *
--- a/world/src/main/java/topazvalve/world/scenario/Scenario.java
+++ b/world/src/main/java/topazvalve/world/scenario/Scenario.java
@@ -1,6 +1,7 @@
 package topazvalve.world.scenario;
 
 import java.util.List;
+import topazvalve.toml.Range;
 
 /**
  * A scenario as read: what there is, what is asked of it, and what goes wrong. Times in nanoseconds.
--- a/world/src/main/java/topazvalve/world/scenario/ScenarioFile.java
+++ b/world/src/main/java/topazvalve/world/scenario/ScenarioFile.java
@@ -1,16 +1,16 @@
 package topazvalve.world.scenario;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import topazvalve.toml.BadFile;
+import topazvalve.toml.Range;
+import topazvalve.toml.Table;
+import topazvalve.toml.TomlFile;
 import topazvalve.world.scenario.Scenario.Chaos;
 import topazvalve.world.scenario.Scenario.Clients;
 import topazvalve.world.scenario.Scenario.Fleet;
@@ -25,34 +25,16 @@
  * fault is not played at all.
  */
 public final class ScenarioFile {
-    private static final TomlMapper TOML = new TomlMapper();
-
     private ScenarioFile() { }
 
-    /** Reads a file; {@link BadScenario} if it has faults. */
+    /** Reads a file; {@link BadFile} if it has faults. */
     public static Scenario read(Path file) throws IOException {
         return parse(file.toString(), Files.readString(file));
     }
 
     /** Reads a text; {@code name} stands for it in messages. */
     public static Scenario parse(String name, String text) {
-        List<Problem> problems = new ArrayList<>();
-        JsonNode root;
-        try {
-            root = TOML.readTree(text);
-        } catch (JsonProcessingException e) {
-            int line = e.getLocation() == null ? 1 : Math.max(1, e.getLocation().getLineNr());
-            throw new BadScenario(List.of(new Problem(name, line, "", "not TOML: "
-                    + e.getOriginalMessage().replaceAll("\\s*\\R.*", ""))));
-        }
-        Table table = new Table(name, new KeyLines(text), problems, "", root);
-        Scenario read = scenario(table);
-        table.finish();
-        if (!problems.isEmpty()) {
-            problems.sort(Comparator.comparingInt(Problem::line));
-            throw new BadScenario(problems);
-        }
-        return read;
+        return TomlFile.parse(name, text, ScenarioFile::scenario);
     }
 
     private static Scenario scenario(Table table) {
--- a/world/src/main/java/topazvalve/world/scenario/WorkClass.java
+++ b/world/src/main/java/topazvalve/world/scenario/WorkClass.java
@@ -1,5 +1,7 @@
 package topazvalve.world.scenario;
 
+import topazvalve.toml.Table;
+
 /**
  * A class of request; times in nanoseconds.
  *
--- a/world/src/main/java/topazvalve/world/scenario/package-info.java
+++ b/world/src/main/java/topazvalve/world/scenario/package-info.java
@@ -1,2 +1,3 @@
 /** What a scenario file says, read strictly. */
 package topazvalve.world.scenario;
+
--- a/world/src/test/java/topazvalve/world/scenario/ScenarioFileTest.java
+++ b/world/src/test/java/topazvalve/world/scenario/ScenarioFileTest.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import topazvalve.toml.Problem;
+import topazvalve.toml.BadFile;
 
 class ScenarioFileTest {
     private static List<Path> shipped() throws IOException {
@@ -30,8 +32,8 @@
         assertTrue(read.instanceRate() > 0);
     }
 
-    private static BadScenario refused(List<String> lines) {
-        return assertThrows(BadScenario.class, () -> ScenarioFile.parse("x.toml", String.join("\n", lines)),
+    private static BadFile refused(List<String> lines) {
+        return assertThrows(BadFile.class, () -> ScenarioFile.parse("x.toml", String.join("\n", lines)),
                 () -> String.join("\n", lines));
     }
 
@@ -68,7 +70,7 @@
 
     @Test
     void allFaultsAreToldAtOnceAndInOrder() {
-        BadScenario bad = refused(List.of("nam = \"x\"", "length = \"10\"", "[load]", "rate = 1",
+        BadFile bad = refused(List.of("nam = \"x\"", "length = \"10\"", "[load]", "rate = 1",
                 "rhythm = 2"));
         List<String> told = bad.problems().stream().map(Problem::key).toList();
         assertTrue(told.containsAll(List.of("name", "nam", "length", "load.rhythm", "machine", "class")),
@@ -79,7 +81,7 @@
 
     @Test
     void whatIsNoTomlIsOneFaultWithItsLine() {
-        BadScenario bad = refused(List.of("name = \"x\"", "length = "));
+        BadFile bad = refused(List.of("name = \"x\"", "length = "));
         assertEquals(1, bad.problems().size());
         assertFalse(bad.getMessage().contains("\n"), bad.getMessage());
         assertTrue(bad.getMessage().startsWith("x.toml:"), bad.getMessage());
