Opaque TCP streams over the core, set in an operator's file and off by default

Change: module tcp. A stream's server is chosen by the decision module as it opens; a connect that never came up may be tried elsewhere, nothing after it. Half-closes and resets pass as they are, each direction holds a bounded part of the byte budget, drains give a grace, limits and refusals have named counters, PROXY headers go in and out by Netty's codec. Listeners are read strictly from a TOML file named by -Dtopazvalve.operator; check reads it. The core no longer lets a refusal through while an answer is being passed on: the model check, which now plays a module that orders what it should not, found that.

--- a/command/src/main/java/topazvalve/command/Check.java
+++ b/command/src/main/java/topazvalve/command/Check.java
@@ -1,18 +1,26 @@
 package topazvalve.command;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.regex.Pattern;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import topazvalve.sidecar.config.Config;
+import topazvalve.tcp.TcpFile;
+import topazvalve.tcp.TcpSettings;
+import topazvalve.toml.BadFile;
 
 /** Reads a file as the program that takes it would, and starts nothing. */
 @Command(name = "check", description = {
-    "Checks a sidecar's configuration (.json) or a scenario (.toml), and starts nothing."})
+    "Checks a sidecar's configuration (.json), an operator's file or a scenario "
+    + "(.toml), and starts nothing."})
 final class Check implements Callable<Integer> {
+    /** What only an operator's file has. */
+    private static final Pattern LISTENER = Pattern.compile("(?m)^\\s*\\[\\[\\s*listener\\s*]]");
     @Spec
     private CommandSpec spec;
     @Parameters(paramLabel = "FILE", description = "the file to check")
@@ -20,11 +28,20 @@
 
     @Override
     public Integer call() throws IOException {
+        Input.requireFile(file);
+        if (file.toString().endsWith(".toml") && LISTENER.matcher(Files.readString(file)).find()) {
+            try {
+                spec.commandLine().getOut().println(file + ": good; listeners "
+                        + TcpFile.read(file).stream().map(TcpSettings::name).toList());
+                return ExitCode.DONE;
+            } catch (BadFile e) {
+                throw new BadInput(e.getMessage(), e);
+            }
+        }
         if (file.toString().endsWith(".toml")) {
             spec.commandLine().getOut().println(file + ": good; scenario " + Input.scenario(file).name());
             return ExitCode.DONE;
         }
-        Input.requireFile(file);
         try {
             Config config = Config.read(file);
             spec.commandLine().getOut().println(file + ": good; classes "
--- a/core/src/main/java/topazvalve/core/exchange/Exchanges.java
+++ b/core/src/main/java/topazvalve/core/exchange/Exchanges.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -340,23 +341,25 @@
 
     @Override
     public void refuse(long request, long wait) {
-        Exchange<Q, A> exchange = exchanges.get(request);
-        if (exchange != null) {
-            answer(exchange, () -> {
-                exchange.counts.refused();
-                exchange.client.refused(wait);
-            });
-        }
+        turnDown(request, exchange -> {
+            exchange.counts.refused();
+            exchange.client.refused(wait);
+        });
     }
 
     @Override
     public void fail(long request) {
+        turnDown(request, exchange -> {
+            exchange.counts.failed();
+            exchange.client.failed();
+        });
+    }
+
+    /** Not while an answer is being passed on: that answer's end is the client's. */
+    private void turnDown(long request, Consumer<Exchange<Q, A>> words) {
         Exchange<Q, A> exchange = exchanges.get(request);
-        if (exchange != null) {
-            answer(exchange, () -> {
-                exchange.counts.failed();
-                exchange.client.failed();
-            });
+        if (exchange != null && exchange.phase() != Phase.ANSWERING) {
+            answer(exchange, () -> words.accept(exchange));
         }
     }
 
--- a/core/src/test/java/topazvalve/core/exchange/ExchangeModelTest.java
+++ b/core/src/test/java/topazvalve/core/exchange/ExchangeModelTest.java
@@ -15,7 +15,7 @@
 /**
  * Plays every order of events up to a depth against the real core and module, each from the beginning: the
  * client leaves, attempts are written, lost, answered, begun, cut, timers ring, a server drains, settings
- * change, the process stops. {@code -Dmodel.depth=N} goes deeper.
+ * change, the process stops, a module orders what it should not. {@code -Dmodel.depth=N} goes deeper.
  */
 class ExchangeModelTest {
     private static final int DEPTH = Integer.getInteger("model.depth", 5);
@@ -26,29 +26,32 @@
     @EnumSource(Semantics.class)
     void everyOrderOfEventsEndsInOneAnswerAndLosesNothing(Semantics semantics) {
         for (boolean whole : new boolean[] {true, false}) {
-            explore(semantics, whole, new ArrayList<>());
+            for (boolean rogue : new boolean[] {true, false}) {
+                explore(semantics, whole, rogue, new ArrayList<>());
+            }
         }
         System.out.printf("model %s: %,d orders, %,d different states, depth %d%n", semantics, played,
                 states.size(), DEPTH);
         assertTrue(states.size() > 100, "something happens");
     }
 
-    private void explore(Semantics semantics, boolean whole, List<String> path) {
+    private void explore(Semantics semantics, boolean whole, boolean rogue, List<String> path) {
         List<String> next;
         try {
-            Scene scene = new Scene(semantics, whole);
+            Scene scene = new Scene(semantics, whole, rogue);
             path.forEach(scene::play);
-            states.add(scene.state());
+            states.add(whole + " " + rogue + scene.state());
             next = scene.next();
             scene.settle();
             played++;
         } catch (AssertionError | RuntimeException e) {
-            throw new AssertionError(semantics + (whole ? " whole " : " arriving ") + path, e);
+            throw new AssertionError(semantics + (whole ? " whole " : " arriving ") + (rogue ? "rogue "
+                    : "") + path, e);
         }
         if (path.size() < DEPTH) {
             for (String event : next) {
                 path.add(event);
-                explore(semantics, whole, path);
+                explore(semantics, whole, rogue, path);
                 path.remove(path.size() - 1);
             }
         }
--- a/core/src/test/java/topazvalve/core/exchange/PlayBack.java
+++ b/core/src/test/java/topazvalve/core/exchange/PlayBack.java
@@ -21,13 +21,16 @@
         final Attempt<String, String> attempt;
         final boolean readyThen;
         final boolean afterDoubt;
+        final boolean withoutBody;
         boolean begun;
 
-        Sent(long server, Attempt<String, String> attempt, boolean readyThen, boolean afterDoubt) {
+        Sent(long server, Attempt<String, String> attempt, boolean readyThen, boolean afterDoubt,
+                boolean withoutBody) {
             this.server = server;
             this.attempt = attempt;
             this.readyThen = readyThen;
             this.afterDoubt = afterDoubt;
+            this.withoutBody = withoutBody;
         }
     }
 
@@ -45,7 +48,8 @@
             AttemptListener<String, String> listener) {
         boolean doubt = sent.stream().anyMatch(each -> each.attempt.written());
         Attempt<String, String> attempt = new Attempt<>(time, message, body, wait, listener, over -> { });
-        sent.add(new Sent(server, attempt, ready.getOrDefault(server, false), doubt));
+        sent.add(new Sent(server, attempt, ready.getOrDefault(server, false), doubt,
+                !body.repeatable()));
         if (body.whole()) {
             attempt.limit(wait);
         }
--- a/core/src/test/java/topazvalve/core/exchange/Scene.java
+++ b/core/src/test/java/topazvalve/core/exchange/Scene.java
@@ -31,7 +31,7 @@
 final class Scene {
     private static final String SETTINGS = """
             quantum=0
-            caps.mayCancel=true
+            caps.mayCancel=%s
             caps.tryLimit=%d
             caps.retryAfter=true
             caps.maxRetryAfter=1000000000
@@ -56,6 +56,7 @@
     final PlayBack back = new PlayBack(time);
     private final ClassTable classes = new ClassTable();
     private final Semantics semantics;
+    private final boolean rogue;
     private final ByteBudget budget = new ByteBudget(ByteBudget.LEAST);
     private final RequestBody body;
     private final Exchanges<String, String> exchanges;
@@ -71,8 +72,10 @@
     private boolean retuned;
     private boolean stopped;
 
-    Scene(Semantics semantics, boolean whole) {
+    /** With {@code rogue} orders may come that the module did not give, and it can't cancel. */
+    Scene(Semantics semantics, boolean whole, boolean rogue) {
         this.semantics = semantics;
+        this.rogue = rogue;
         body = whole ? RequestBody.of(new byte[8]) : new RequestBody(budget, -1);
         Options options = options(TRIES);
         exchanges = new Exchanges<>(time, options, this::module, back, 2, new Metrics(), classes);
@@ -83,7 +86,8 @@
     }
 
     private Options options(int tries) {
-        return new Options(SETTINGS.formatted(tries, semantics.name().toLowerCase(java.util.Locale.ROOT)));
+        return new Options(SETTINGS.formatted(!rogue, tries, semantics.name().toLowerCase(
+                java.util.Locale.ROOT)));
     }
 
     private static Target target(int number, State state) {
@@ -143,6 +147,8 @@
         @Override
         public void finished() {
             assertTrue(begun, "finished what never began");
+            assertTrue(back.sent.stream().allMatch(each -> !each.begun || each.attempt.over()),
+                    "finished by another's end");
             ends("finished");
         }
 
@@ -201,6 +207,9 @@
                 }
             }
         }
+        if (rogue && orders < TRIES + 2) {
+            events.add("order");
+        }
         events.add("ring");
         if (drainedAt.isEmpty()) {
             events.add("drain");
@@ -254,6 +263,12 @@
                 left = finals.isEmpty();
                 exchanges.hangup(id);
             }
+            case "order" -> {
+                if (exchanges.held() > 0) {
+                    orders++;
+                    exchanges.send(id, 2, 0);
+                }
+            }
             case "last" -> {
                 if (!body.whole()) {
                     body.end();
@@ -297,10 +312,10 @@
         assertTrue(back.sent.size() <= TRIES, "more than four attempts");
         for (PlayBack.Sent each : back.sent) {
             assertTrue(each.readyThen, "sent to a drained server");
-            assertTrue(semantics != Semantics.ONCE || !each.afterDoubt, "ran twice");
+            assertTrue(rogue || semantics != Semantics.ONCE || !each.afterDoubt, "ran twice");
+            assertTrue(!left || !each.begun || each.attempt.over(), "answers who has left");
         }
-        assertTrue(!dropped || back.sent.size() <= 1 || !back.sent.get(back.sent.size() - 1).afterDoubt,
-                "sent again without its body");
+        assertTrue(back.sent.stream().noneMatch(each -> each.withoutBody), "sent again without its body");
     }
 
     /** Lets everything come to its end, and looks whether all is settled. */
--- a/sidecar/src/main/java/topazvalve/sidecar/Main.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/Main.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,7 @@
 import topazvalve.logging.Logging;
 import topazvalve.sidecar.config.Config;
 import topazvalve.sidecar.listen.ClientListener;
+import topazvalve.tcp.TcpSettings;
 
 /** Entry point of the real sidecar: configuration, start, and an orderly end at SIGTERM. */
 public final class Main {
@@ -31,11 +33,13 @@
         reloadAtSighup(file, running);
         Config config;
         ClientListener clients;
+        List<TcpSettings> listeners;
         try {
             if (file == null) {
                 throw new IllegalArgumentException("not set: PROXY_CONFIG");
             }
             config = Config.read(Path.of(file));
+            listeners = Streams.read(operatorFile());
             clients = ClientListener.given(config.listen(), System.getenv("PROXY_FD"));
         } catch (IllegalArgumentException | IOException e) {
             LOG.error("configuration: {}", e.getMessage());
@@ -46,13 +50,20 @@
         EventLoop loop = group.next();
         boolean rehearsal = args.length == 1 && args[0].equals("rehearse");
         loop.execute(() -> {
-            Sidecar sidecar = new Sidecar(group, loop, config, clients, rehearsal ? Main::end : () -> { });
+            Sidecar sidecar = new Sidecar(group, loop, config, clients, listeners,
+                    rehearsal ? Main::end : () -> { });
             sidecar.start();
             endAtSigterm(loop, sidecar);
             running.complete(sidecar);
         });
     }
 
+    /** What this installation has beyond the platform's; null where it has nothing. */
+    private static Path operatorFile() {
+        String file = System.getProperty("topazvalve.operator");
+        return file == null ? null : Path.of(file);
+    }
+
     /**
      * Left to itself the JVM ends at SIGHUP. It calls this handler on a thread of its own, so reading the
      * file holds nobody up; one that comes before the start is over waits for it. A bad file changes nothing.
@@ -61,7 +72,7 @@
         onSighup(() -> {
             Sidecar sidecar = running.join();
             synchronized (running) {
-                sidecar.reload(Path.of(file));
+                sidecar.reload(Path.of(file), operatorFile());
             }
         });
     }
--- a/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
@@ -6,16 +6,19 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import topazvalve.decisions.Balancer.RequestClass;
+import topazvalve.core.stream.ByteBudget;
 import topazvalve.sidecar.admin.AdminServer;
 import topazvalve.sidecar.config.Config;
 import topazvalve.core.lifecycle.Lifecycle;
 import topazvalve.sidecar.listen.ClientListener;
+import topazvalve.tcp.TcpSettings;
 import topazvalve.core.metrics.Metrics;
 
 /** One running sidecar: its parts, and the order in which they start and end. On the event loop alone. */
@@ -35,14 +38,19 @@
     private final Lifecycle lifecycle = new Lifecycle();
     private final Metrics metrics = new Metrics();
     private final HttpSide http;
+    private final Streams streams = new Streams();
+    private final ByteBudget streamBudget;
+    private volatile List<TcpSettings> listeners;
 
     Sidecar(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config, ClientListener clients,
-            Runnable whenReady) {
+            List<TcpSettings> listeners, Runnable whenReady) {
         this.group = group;
         this.loop = loop;
         this.config = config;
         this.clients = clients;
         this.whenReady = whenReady;
+        this.listeners = listeners;
+        this.streamBudget = new ByteBudget(config.bodyBytes());
         this.http = new HttpSide(loop, config, config.sockets() / 2, config.mostClients(), metrics,
                 lifecycle);
     }
@@ -52,7 +60,7 @@
         if (config.admin() == null) {
             takeClients(null);
         } else {
-            AdminServer admin = new AdminServer(lifecycle, () -> metrics.text(http.exchanges()));
+            AdminServer admin = new AdminServer(lifecycle, this::figures);
             onceOpen(admin.listen(group, config.admin()), "admin", this::takeClients);
         }
     }
@@ -86,23 +94,31 @@
         });
     }
 
+    private String figures() {
+        StringBuilder text = new StringBuilder(metrics.text(http.exchanges()));
+        streams.print(text);
+        return text.toString();
+    }
+
     private void ready() {
         lifecycle.started();
+        streams.start(group, loop, listeners, config.seed(), streamBudget, lifecycle);
         LOG.info("{} ready at {}", config.name(), config.listen());
         whenReady.run();
     }
 
     /** At SIGHUP: reads the file, on the caller's thread, and takes it over whole or not at all. */
-    void reload(Path file) {
+    void reload(Path file, Path operator) {
         try {
             Config read = Config.read(file);
-            loop.execute(() -> take(read));
+            List<TcpSettings> next = Streams.read(operator);
+            loop.execute(() -> take(read, next));
         } catch (IllegalArgumentException | IOException e) {
             loop.execute(() -> turnDown(e));
         }
     }
 
-    private void take(Config read) {
+    private void take(Config read, List<TcpSettings> next) {
         try {
             read.requireFit(config);
         } catch (IllegalArgumentException e) {
@@ -111,6 +127,8 @@
         }
         http.reconfigure(read);
         config = read;
+        streams.retune(next);
+        listeners = next;
         metrics.configApplied();
         LOG.info("new configuration taken: classes {}, attempts {}", read.options().names("profiles"),
                 read.options().settings().allowed().tryLimit());
@@ -125,9 +143,10 @@
     void end(CountDownLatch done) {
         LOG.info("{} ending, {} open requests", config.name(), http.exchanges().active());
         lifecycle.end();
+        streams.end();
         loop.schedule(clients::stop, clients.shared() ? 0 : ACCEPT_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> {
-            if (http.front().empty() && http.exchanges().active() == 0) {
+            if (http.front().empty() && streams.empty() && http.exchanges().active() == 0) {
                 done.countDown();
             }
         }, ACCEPT_MS, POLL_MS, TimeUnit.MILLISECONDS);
@@ -137,6 +156,6 @@
     long longestEndMs() {
         long longest = config.options().settings().classes().stream()
                 .mapToLong(RequestClass::deadline).max().orElse(0) / 1_000_000;
-        return longest + SPARE_MS;
+        return Math.max(longest + SPARE_MS, Streams.longestEndMs(listeners));
     }
 }
--- a/tcp/src/main/java/topazvalve/tcp/ClientStream.java
+++ b/tcp/src/main/java/topazvalve/tcp/ClientStream.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.haproxy.HAProxyMessage;
@@ -55,6 +56,8 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         if (settings.proxyIn()) {
+            // The codec closes by itself, at once, where a header is malformed.
+            linger(settings.refusal() == TcpSettings.Refusal.RESET ? 0 : -1);
             headerAlarm = time.after(HEADER_TIME, () -> {
                 if (state == State.HEADER) {
                     refuse(Refused.PROXY_HEADER_LATE);
@@ -65,6 +68,10 @@
         }
     }
 
+    private void linger(int seconds) {
+        channel.config().setOption(ChannelOption.SO_LINGER, seconds);
+    }
+
     private Opening direct() {
         return new Opening((InetSocketAddress) channel.remoteAddress(),
                 (InetSocketAddress) channel.localAddress());
@@ -86,6 +93,7 @@
             Opening told = ProxyHeader.read(header);
             header.release();
             if (state == State.HEADER) {
+                linger(-1);
                 submit(told == null ? direct() : told);
             }
             return;
--- a/toml/src/main/java/topazvalve/toml/Table.java
+++ b/toml/src/main/java/topazvalve/toml/Table.java
@@ -182,15 +182,16 @@
         return value.asText();
     }
 
-    /** Some texts, one at least. */
+    /** Some texts, one at least unless {@code absent} is an empty list. */
     public List<String> texts(String key, List<String> absent) {
+        boolean mayBeEmpty = absent != null && absent.isEmpty();
         JsonNode value = value(key, absent == null, "a list of texts");
         if (value == null) {
             return absent == null ? List.of() : absent;
         }
         List<String> read = new ArrayList<>();
         value.forEach(each -> read.add(each.isTextual() ? each.asText() : ""));
-        if (!value.isArray() || read.isEmpty() || read.contains("")
+        if (!value.isArray() || read.isEmpty() && !mayBeEmpty || read.contains("")
                 || Set.copyOf(read).size() < read.size()) {
             wrong(key, value + " is not a list of different texts in quotes");
             return absent == null ? List.of("?") : absent;
