--- a/decisions/src/main/java/topazvalve/decisions/FadingSum.java
+++ b/decisions/src/main/java/topazvalve/decisions/FadingSum.java
@@ -5,6 +5,7 @@
     private double window;
     private double value;
     private long at;
+    private long began;
 
     /** Starts at {@code first}, which counts in full until something is added. */
     FadingSum(double window, double first) {
@@ -16,6 +17,12 @@
         return at == 0 ? value : value * Math.exp((at - now) / window);
     }
 
+    /** What was added a nanosecond: over the last window or, before one has passed, since the first. */
+    double rate(long now) {
+        // A tenth of a window at the least: what comes first is no rate.
+        return at == 0 ? 0 : value(now) / (window * Math.max(0.1, 1 - Math.exp((began - now) / window)));
+    }
+
     /** Forgets by another window from now on. */
     void window(long now, double next) {
         if (at != 0) {
@@ -26,6 +33,7 @@
 
     void add(long now, double more) {
         value = value(now) + more;
+        began = at == 0 ? now : began;
         at = now;
     }
 }
--- a/decisions/src/main/java/topazvalve/decisions/Rules.java
+++ b/decisions/src/main/java/topazvalve/decisions/Rules.java
@@ -72,6 +72,7 @@
             throw new IllegalArgumentException("request of unknown class " + request.requestClass());
         }
         Call call = ledger.open(now, request, arriving);
+        roster.offered.add(now, roster.work(call));
         admission.admit(now, call);
         alarms.flush();
     }
@@ -401,9 +402,6 @@
             if (outcome != Outcome.CONNECT_FAILED) {
                 admission.ended(now, attempt, outcome, call);
             }
-            if (outcome == Outcome.OK) {
-                roster.served.add(now, roster.work(call));
-            }
         }
 
         /** The first attempt that may have run, or null while every one is proven not to have. */
@@ -529,12 +527,13 @@
         private final TreeMap<Long, Server> servers = new TreeMap<>();
         private List<Server> ready = List.of();
         private boolean listed;
-        private final FadingSum served = new FadingSum(settings.limits().rampTime(), 0);
+        /** Work of the requests that came, whatever became of them. */
+        private final FadingSum offered = new FadingSum(settings.limits().tipAfter(), 0);
         private long retryWait;
         private long asked;
 
         void retuned(long now) {
-            served.window(now, settings.limits().rampTime());
+            offered.window(now, settings.limits().tipAfter());
         }
 
         void follow(long now) {
@@ -604,17 +603,16 @@
         }
 
         /**
-         * Danger: a cold server falls over and stays down when all sidecars together overfill it. A share of
-         * what comparable servers are seen to serve FOR THIS SIDECAR is this sidecar's part, so the parts of
-         * all sum up to that share of a server's load, whoever sends how much.
+         * Danger: a cold server falls over and stays down when all sidecars together overfill it. What is
+         * ASKED OF THIS SIDECAR, spread over the capacity that is there now, is its part: the parts of all
+         * sum up to the load of a warm server times what a cold one can do at the least. What is served tells
+         * less: it takes a ramp to count up after a start, and falls when the warm ones are overfull.
          */
         boolean coldRoom(long now, Server server, Call call) {
             if (now >= server.coldUntil) {
                 return true;
             }
-            double warm = 1 - (server.coldUntil - now) / (double) settings.limits().rampTime();
-            double cold = settings.limits().coldShare();
-            double rate = comparable(now) * (cold + (1 - cold) * Math.max(0, Math.min(1, warm)));
+            double rate = forEach(now) * capacity(now, server);
             if (rate == 0) {
                 // Nothing to compare with yet. Danger: one at a time is one from every sidecar at once, so a
                 // lone sidecar's habit pushes a cold server over; the warm ones take the request instead.
@@ -632,10 +630,20 @@
             return server.coldTokens >= 0 && server.holds() <= 1 + server.limit / 2;
         }
 
-        /** Work a nanosecond that a warm server serves for this sidecar, on average. */
-        private double comparable(long now) {
-            long warm = ready.stream().filter(server -> now >= server.coldUntil).count();
-            return warm == 0 ? 0 : served.value(now) / warm / settings.limits().rampTime();
+        /** The part of its full capacity that a server has now, at the least. */
+        private double capacity(long now, Server server) {
+            if (now >= server.coldUntil) {
+                return 1;
+            }
+            double warm = 1 - (server.coldUntil - now) / (double) settings.limits().rampTime();
+            double cold = settings.limits().coldShare();
+            return cold + (1 - cold) * Math.max(0, Math.min(1, warm));
+        }
+
+        /** Work a nanosecond that is asked of this sidecar for each warm server's worth of capacity. */
+        private double forEach(long now) {
+            double capacity = ready.stream().mapToDouble(server -> capacity(now, server)).sum();
+            return capacity == 0 ? 0 : offered.rate(now) / capacity;
         }
 
         double work(Call call) {
