--- a/decisions/src/main/java/topazvalve/decisions/Rules.java
+++ b/decisions/src/main/java/topazvalve/decisions/Rules.java
@@ -73,6 +73,7 @@
         }
         Call call = ledger.open(now, request, arriving);
         roster.offered.add(now, roster.work(call));
+        admission.wanted.add(now, Admission.GOOD * call.aim);
         admission.admit(now, call);
         alarms.flush();
     }
@@ -117,7 +118,9 @@
     public void probeResult(long now, long upstream, Outcome outcome, long elapsed, float[] load) {
         Server server = roster.servers.get(upstream);
         if (server != null) {
+            health.told(now, server, outcome);
             reports.told(now, server, outcome, load);
+            admission.drain(now);
         }
         alarms.flush();
     }
@@ -248,6 +251,9 @@
         int connectFailures;
         long nextTrial;
         long backoff;
+        /** A probe is out; the last one was answered, and no request has followed it. */
+        boolean asked;
+        boolean vouched;
         double limit = Admission.FIRST_LIMIT;
         long lastCut;
         double holds = Double.MAX_VALUE;
@@ -273,6 +279,8 @@
         int crowd;
         boolean inFlight;
         boolean settled;
+        /** Among what is in flight in all. */
+        boolean counted;
         boolean stream;
         boolean out = true;
         boolean mayHaveRun = true;
@@ -384,6 +392,7 @@
         private void takeOff(long now, Attempt attempt, Call call) {
             attempt.crowd = attempt.server.inFlight++;
             attempt.inFlight = true;
+            admission.tookOff(attempt);
             health.loaded(now, attempt.server, call);
         }
 
@@ -393,6 +402,7 @@
                 return;
             }
             attempt.settled = true;
+            admission.landed(attempt);
             if (attempt.inFlight) {
                 attempt.server.inFlight--;
                 attempt.stream = call.streaming && call.kind.stream() && attempt.out;
@@ -756,8 +766,26 @@
 
         void sent(long now, Server server) {
             if (server.nextTrial > 0) {
-                server.backoff = Math.min(server.backoff * 2, firstBackoff * 8);
-                server.nextTrial = now + server.backoff;
+                backOff(now, server);
+            }
+        }
+
+        private void backOff(long now, Server server) {
+            server.vouched = false;
+            server.backoff = Math.min(server.backoff * 2, firstBackoff * 8);
+            server.nextTrial = now + server.backoff;
+        }
+
+        /** An answered probe lets one request try the server; any other end puts the next trial off. */
+        void told(long now, Server server, Outcome outcome) {
+            if (!server.asked) {
+                return;
+            }
+            server.asked = false;
+            if (outcome == Outcome.OK) {
+                server.vouched = true;
+            } else {
+                backOff(now, server);
             }
         }
 
@@ -765,13 +793,29 @@
             integrate(now, server);
             if (!shut(server, current(server), call.expected, call.aim)) {
                 server.nextTrial = 0;
+                server.vouched = false;
                 return true;
             }
             if (server.nextTrial == 0) {
                 server.backoff = firstBackoff;
                 server.nextTrial = now + server.backoff;
             }
-            return now >= server.nextTrial;
+            return now >= server.nextTrial && vouched(server);
+        }
+
+        /**
+         * Danger: a request that tries a silent server is lost, and from every sidecar of a large fleet these
+         * are many. Where probes are allowed one goes first, and a request only to a server that answered it.
+         */
+        private boolean vouched(Server server) {
+            if (!settings.allowed().probes() || server.vouched) {
+                return true;
+            }
+            if (!server.asked) {
+                server.asked = true;
+                actions.probe(server.entry.id());
+            }
+            return false;
         }
 
         private boolean shut(Server server, double slow, double expected, double aim) {
@@ -870,6 +914,16 @@
         private int[] firstVotes = new int[settings.classes().size()];
         /** Over eight aims: ten attempts at a few requests a second; one is taken for good at first. */
         private final FadingSum tried = new FadingSum(8.0 * health.firstBackoff, 1);
+        /** In good time: what the servers are to be held to, well before they are late. */
+        private static final double GOOD = 0.3;
+        private static final double LATELY = 2;
+        /** In the order of their start; {@code out} counts them until they end, or are out for an aim. */
+        private final ArrayDeque<Attempt> flying = new ArrayDeque<>();
+        private int out;
+        /** Good times of the requests that came; times of the answers, in good times; and their number. */
+        private final FadingSum wanted = new FadingSum(LATELY * health.firstBackoff, 0);
+        private final FadingSum times = new FadingSum(LATELY * health.firstBackoff, 0);
+        private final FadingSum answers = new FadingSum(LATELY * health.firstBackoff, 0);
         private final FadingSum inTime = new FadingSum(8.0 * health.firstBackoff, 1);
 
         Admission() {
@@ -885,6 +939,7 @@
             firstVotes = Arrays.copyOf(firstVotes, settings.classes().size());
             tried.window(now, 8.0 * health.firstBackoff);
             inTime.window(now, 8.0 * health.firstBackoff);
+            List.of(wanted, times, answers).forEach(sum -> sum.window(now, LATELY * health.firstBackoff));
         }
 
         /**
@@ -955,7 +1010,37 @@
             return shares[Math.min(call.request.tenant(), shares.length - 1)];
         }
 
+        /**
+         * Whether as much is in flight in all as requests that come like these lately have out while each is
+         * answered in good time (Little's law), and a spread; fewer as answers take longer. Danger: where
+         * many sidecars keep a request or two at each of many servers, no limit for one server binds and all
+         * together choke them. What is out for longer than an aim waits at silent servers: it takes no room.
+         */
+        private boolean full(long now) {
+            double slower = (times.value(now) + 1) / (answers.value(now) + 1);
+            double room = wanted.rate(now) / Math.max(1, slower);
+            while (!flying.isEmpty() && (flying.peek().settled
+                    || now - flying.peek().wholeAt > health.firstBackoff)) {
+                landed(flying.poll());
+            }
+            return out >= 1 + room + Math.sqrt(room);
+        }
+
+        void tookOff(Attempt attempt) {
+            flying.add(attempt);
+            attempt.counted = true;
+            out++;
+        }
+
+        void landed(Attempt attempt) {
+            out -= attempt.counted ? 1 : 0;
+            attempt.counted = false;
+        }
+
         private boolean place(long now, Call call) {
+            if (full(now)) {
+                return false;
+            }
             Server server = pattern.pick(now, call, false);
             // Danger: a trouble common to all would empty the pattern. Gates that all shut do not count.
             if (server == null && roster.ready.stream().noneMatch(any -> health.open(now, any, call))) {
@@ -1000,6 +1085,10 @@
             if (!attempt.inFlight) {
                 return;
             }
+            if (outcome == Outcome.OK) {
+                answers.add(now, 1);
+                times.add(now, (now - attempt.wholeAt) / (GOOD * call.aim));
+            }
             Usual usual = health.usual.get(call.request.requestClass());
             double scaled = (now - attempt.wholeAt) * usual.mean / call.expected;
             if (outcome == Outcome.REJECTED || scaled > LATE * call.aim) {
--- a/decisions/src/test/java/topazvalve/decisions/FleetRulesTest.java
+++ b/decisions/src/test/java/topazvalve/decisions/FleetRulesTest.java
@@ -1,15 +1,21 @@
 package topazvalve.decisions;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static topazvalve.decisions.Recorder.MS;
+import static topazvalve.decisions.Recorder.ONCE;
 import static topazvalve.decisions.Recorder.REPEATABLE;
 import static topazvalve.decisions.Recorder.settings;
 import static topazvalve.decisions.Recorder.upstream;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.PriorityQueue;
+import java.util.function.LongUnaryOperator;
 import org.junit.jupiter.api.Test;
 import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.decisions.Balancer.Outcome;
 import topazvalve.decisions.Balancer.State;
 import topazvalve.decisions.Balancer.Upstream;
 
@@ -36,6 +42,116 @@
         return fleet;
     }
 
+    /** Plays requests that come evenly; a server answers after {@code took}, or never where that is below 0. */
+    private static final class Load {
+        private final Recorder host;
+        private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparingLong(Due::at));
+        private int seen;
+        private long nextId;
+        private int mostOut;
+
+        private record Due(long at, Recorder.Sent sent, Outcome outcome) { }
+
+        Load(Recorder host) {
+            this.host = host;
+        }
+
+        void play(int seconds, int aSecond, LongUnaryOperator took) {
+            mostOut = 0;
+            for (int i = 0; i < seconds * aSecond; i++) {
+                host.request(nextId++, 0);
+                take(took);
+                long until = host.now + 1_000 * MS / aSecond;
+                while (!due.isEmpty() && due.peek().at() <= until) {
+                    host.advance(Math.max(0, due.peek().at() - host.now));
+                    Due next = due.poll();
+                    host.outcome(next.sent(), next.outcome());
+                    take(took);
+                }
+                host.advance(until - host.now);
+                take(took);
+            }
+        }
+
+        private void take(LongUnaryOperator took) {
+            while (seen < host.sends.size()) {
+                Recorder.Sent sent = host.sends.get(seen++);
+                long wait = took.applyAsLong(sent.upstream());
+                due.add(wait < 0 ? new Due(sent.at() + 1_000 * MS, sent, Outcome.TIMEOUT)
+                        : new Due(sent.at() + wait, sent, Outcome.OK));
+            }
+            mostOut = Math.max(mostOut, due.size());
+        }
+
+        long refused() {
+            return host.answers.stream().filter(answer -> answer.startsWith("refuse")).count();
+        }
+    }
+
+    private static Recorder probing(long seed) {
+        Balancer.Settings base = settings(ONCE);
+        return new Recorder(new Balancer.Settings(0, SIDECARS, 0, 5 * MS, Balancer.Discovery.AUTOMATIC,
+                Balancer.Weights.SILENT, base.classes(), List.of(),
+                new Balancer.Allowed(true, true, false, true, true, 3, 1_000 * MS, 250 * MS), base.limits(),
+                List.of(), Balancer.Charges.NONE, false, 1), seed);
+    }
+
+    /** Where all servers grow slow at once, each sidecar holds back long before each server has its two. */
+    @Test
+    void whatIsInFlightInAllFallsAsAnswersTakeLonger() {
+        for (int seed = 0; seed < 5; seed++) {
+            Load load = new Load(new Recorder(settings(ONCE), seed).withUpstreams(20));
+            load.play(2, 60, server -> 60 * MS);
+            assertEquals(0, load.refused());
+            load.play(2, 60, server -> 400 * MS);
+            load.play(2, 60, server -> 400 * MS);
+            // 60 a second for 0.4 s each would be 24.
+            assertTrue(load.mostOut <= 9, "in flight: " + load.mostOut);
+        }
+    }
+
+    /** A sidecar whose neighbours have died has three times the requests from one moment to the next. */
+    @Test
+    void aSurgeThatServersBearIsServed() {
+        for (int seed = 0; seed < 5; seed++) {
+            Load load = new Load(new Recorder(settings(ONCE), seed).withUpstreams(40));
+            load.play(2, 50, server -> 60 * MS);
+            load.play(2, 150, server -> 60 * MS);
+            assertTrue(load.refused() <= 3, "refused: " + load.refused());
+        }
+    }
+
+    @Test
+    void silentServersTakeUpNoRoom() {
+        for (int seed = 0; seed < 5; seed++) {
+            Load load = new Load(probing(seed).withUpstreams(20));
+            load.play(2, 60, server -> 60 * MS);
+            load.play(6, 60, server -> server < 4 ? -1 : 60 * MS);
+            assertTrue(load.refused() < 0.05 * 360, "refused: " + load.refused());
+        }
+    }
+
+    /** A request is never what finds out whether a silent server answers again. */
+    @Test
+    void aShutServerIsProbedBeforeARequestTriesIt() {
+        Recorder host = probing(3).withUpstreams(8);
+        Load load = new Load(host);
+        load.play(2, 60, server -> 60 * MS);
+        load.play(8, 60, server -> server == 2 ? -1 : 60 * MS);
+        int before = host.sends.size();
+        long probes = host.log.stream().filter("probe 2"::equals).count();
+        assertEquals(1, probes, "one is out and not answered");
+        load.play(5, 60, server -> server == 2 ? -1 : 60 * MS);
+        assertEquals(0, host.sentTo(2, before));
+        host.rules.probeResult(host.now, 2, Outcome.TIMEOUT, 250 * MS, new float[0]);
+        load.play(10, 60, server -> server == 2 ? -1 : 60 * MS);
+        assertEquals(0, host.sentTo(2, before), "the probe was not answered");
+        assertEquals(2, host.log.stream().filter("probe 2"::equals).count(), "asked again, later");
+        host.rules.probeResult(host.now, 2, Outcome.OK, MS, new float[0]);
+        load.play(5, 60, server -> 60 * MS);
+        assertTrue(host.sentTo(2, before) > 5, "it takes its turns again");
+    }
+
     private static long toCold(Recorder host, int since) {
         return host.sends.stream().skip(since).filter(sent -> sent.upstream() >= 100).count();
     }
