--- a/decisions/src/main/java/topazvalve/decisions/Rules.java
+++ b/decisions/src/main/java/topazvalve/decisions/Rules.java
@@ -623,16 +623,13 @@
                 return true;
             }
             double rate = forEach(now) * capacity(now, server);
-            if (rate == 0) {
-                // Nothing to compare with yet. Danger: one at a time is one from every sidecar at once, so a
-                // lone sidecar's habit pushes a cold server over; the warm ones take the request instead.
-                return server.holds() == 0 && ready.stream().allMatch(other -> now < other.coldUntil);
-            }
             if (!server.coldMet) {
                 // Danger: a first request free of charge comes from hundreds of sidecars together. Each
-                // starts somewhere within the debt of one request, so that their sum keeps to the rate.
+                // starts somewhere within the debt of one request, so that their sum keeps to the rate. Where
+                // all are cold there is nobody else to take it.
                 server.coldMet = true;
-                server.coldTokens = -random.nextDouble() * work(call);
+                server.coldTokens = ready.stream().allMatch(other -> now < other.coldUntil) ? 0
+                        : -random.nextDouble() * work(call);
             }
             double depth = rate * settings.limits().tipAfter() / 2;
             server.coldTokens = Math.min(depth, server.coldTokens + rate * (now - server.coldAt));
@@ -710,7 +707,9 @@
     private final class Health {
         /** Part of the aim: a kind that takes no more is far from its limit and takes every turn. */
         private static final double EASY = 0.25;
-        private static final double STEEP = 1.4;
+        private static final double STEEP = 4;
+        /** So that what is held against a server is looked at again. */
+        private static final double LEAST = 0.1;
         private final Map<Integer, Pace> paces = new TreeMap<>();
         private double fastest = 1;
 
@@ -720,13 +719,16 @@
 
         /**
          * The part of its turns that a server takes. Danger: even turns give a slow machine as much work as a
-         * fast one, and with the fleet three quarters busy the slow kind has more than it can ever do. All
-         * turns while its kind answers well within the aim; else as the fastest kind's time is to its own,
-         * and somewhat fewer: at the same use, those who wait on a slow machine wait longer.
+         * fast one, and with the fleet three quarters busy the slow one has more than it can ever do; what
+         * other sidecars have there shows in no own count. All turns while it answers well within the aim;
+         * else as the fastest kind's time is to its own, and fewer: at the same use, those who wait on a slow
+         * machine wait longer. Its own answers count beside two for granted at its kind's pace. Trials have
+         * bounds of their own.
          */
         double turnShare(Server server, Call call) {
-            double pace = pace(server).mean;
-            return pace * call.expected < EASY * call.aim ? 1 : Math.min(1, Math.pow(fastest / pace, STEEP));
+            double pace = (server.exposure + 2 * pace(server).mean) / (server.heard + 2);
+            return server.nextTrial > 0 || pace * call.expected < EASY * call.aim ? 1
+                    : Math.max(LEAST, Math.min(1, Math.pow(fastest / pace, STEEP)));
         }
 
         private void learnPace(Server server, double ratio) {
@@ -855,12 +857,19 @@
                     reports.learn(attempt, took);
                     learnPace(server, took / call.expected);
                     usual.get(call.request.requestClass()).learn(took, call.request.costHint());
-                    heard(server);
+                    boolean quick = took / call.expected < current(server) / 2;
+                    heard(server, quick || server.nextTrial > 0 ? 0.5 : 0.9);
+                    if (server.nextTrial > 0 && took < call.aim) {
+                        // A trial that went well: the next may follow at once.
+                        server.nextTrial = now;
+                        server.backoff = firstBackoff;
+                        server.vouched = true;
+                    }
                 }
                 case ERROR, RESET -> {
                     // Danger: fast errors empty the in-flight count and win turns. One is as bad as an answer
                     // at twice the aim: a stray one shuts nothing, two in a row do.
-                    heard(server);
+                    heard(server, server.nextTrial > 0 ? 0.5 : 0.9);
                     server.exposure += 2 * call.aim / call.expected;
                 }
                 case CONNECT_FAILED -> server.connectFailures++;
@@ -868,8 +877,8 @@
             }
         }
 
-        private void heard(Server server) {
-            double keep = server.nextTrial > 0 ? 0.5 : 0.9;
+        /** Keeps less of the evidence where a trial, or an answer that is far quicker, speaks against it. */
+        private void heard(Server server, double keep) {
             server.exposure *= keep;
             server.heard = server.heard * keep + 1;
             server.connectFailures = 0;
