--- a/decisions/src/main/java/topazvalve/decisions/Rules.java
+++ b/decisions/src/main/java/topazvalve/decisions/Rules.java
@@ -254,6 +254,7 @@
         /** A probe is out; the last one was answered, and no request has followed it. */
         boolean asked;
         boolean vouched;
+        int unanswered;
         double limit = Admission.FIRST_LIMIT;
         long lastCut;
         double holds = Double.MAX_VALUE;
@@ -784,9 +785,9 @@
                 return;
             }
             server.asked = false;
-            if (outcome == Outcome.OK) {
-                server.vouched = true;
-            } else {
+            // One in six is believed all the same: who serves may know no probes.
+            server.vouched = outcome == Outcome.OK || ++server.unanswered % 6 == 0;
+            if (!server.vouched) {
                 backOff(now, server);
             }
         }
@@ -925,6 +926,9 @@
         private final FadingSum tried = new FadingSum(8.0 * health.firstBackoff, 1);
         /** In good time: what the servers are to be held to, well before they are late. */
         private static final double GOOD = 0.3;
+        /** Part of the room that every class may use. */
+        private static final double UNRESERVED = 0.6;
+        private static final double NEARLY = 1.5;
         private static final double LATELY = 2;
         /** In the order of their start; {@code out} counts them until they end, or are out for an aim. */
         private final ArrayDeque<Attempt> flying = new ArrayDeque<>();
@@ -1024,15 +1028,39 @@
          * answered in good time (Little's law), and a spread; fewer as answers take longer. Danger: where
          * many sidecars keep a request or two at each of many servers, no limit for one server binds and all
          * together choke them. What is out for longer than an aim waits at silent servers: it takes no room.
+         * The last part of it is for the dearest classes: where not all can be served, the others go first.
          */
-        private boolean full(long now) {
+        private boolean full(long now, Call call) {
             double slower = (times.value(now) + 1) / (answers.value(now) + 1);
             double room = wanted.rate(now) / Math.max(1, slower);
             while (!flying.isEmpty() && (flying.peek().settled
                     || now - flying.peek().wholeAt > health.firstBackoff)) {
                 landed(flying.poll());
             }
-            return out >= 1 + room + Math.sqrt(room);
+            return out >= (1 + room + Math.sqrt(room)) * (dear(call) ? 1 : UNRESERVED);
+        }
+
+        /** Whether no class is worth far more for the time that it takes. */
+        private boolean dear(Call call) {
+            double mine = NEARLY * worth(call.request.requestClass());
+            for (int i = 0; i < health.usual.size(); i++) {
+                if (worth(i) > mine) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
+        private double worth(int kind) {
+            double worth = settings.classes().get(kind).worth();
+            return settings.valueByWork() ? worth : worth / health.usual.get(kind).mean;
+        }
+
+        /** The newest that is held or, where there is no room for such, the newest that is dear. */
+        private Call next(long now, Share share) {
+            Call newest = share.held.peek();
+            return !newest.held || !full(now, newest) ? newest
+                    : share.held.stream().filter(this::dear).findFirst().orElse(newest);
         }
 
         void tookOff(Attempt attempt) {
@@ -1047,7 +1075,7 @@
         }
 
         private boolean place(long now, Call call) {
-            if (full(now)) {
+            if (full(now, call)) {
                 return false;
             }
             Server server = pattern.pick(now, call, false);
@@ -1077,7 +1105,7 @@
                 if (poorest == null) {
                     return;
                 }
-                Call call = poorest.held.peek();
+                Call call = next(now, poorest);
                 if (call.held && !place(now, call)) {
                     poorest.skippedAt = drains;
                 } else {
--- a/decisions/src/test/java/topazvalve/decisions/FleetRulesTest.java
+++ b/decisions/src/test/java/topazvalve/decisions/FleetRulesTest.java
@@ -152,6 +152,61 @@
         assertTrue(host.sentTo(2, before) > 5, "it takes its turns again");
     }
 
+    /** Whoever serves, but knows no probes, is not shut for good. */
+    @Test
+    void manyUnansweredProbesLetARequestTryAllTheSame() {
+        Recorder host = probing(3).withUpstreams(8);
+        Load load = new Load(host);
+        load.play(2, 60, server -> 60 * MS);
+        load.play(8, 60, server -> server == 2 ? -1 : 60 * MS);
+        int before = host.sends.size();
+        for (int i = 0; i < 6; i++) {
+            assertEquals(0, host.sentTo(2, before), "after " + i);
+            host.rules.probeResult(host.now, 2, Outcome.TIMEOUT, 250 * MS, new float[0]);
+            load.play(5, 60, server -> 60 * MS);
+        }
+        assertTrue(host.sentTo(2, before) > 0);
+    }
+
+    /** Where two thirds can be served, the class that is worth five for the same time comes before that of two. */
+    @Test
+    void whereNotAllCanBeServedTheDearerClassComesFirst() {
+        Balancer.RequestClass cheap = worth(2);
+        Balancer.RequestClass dear = worth(5);
+        Recorder host = new Recorder(settings(cheap, dear), 5).withUpstreams(40);
+        PriorityQueue<Recorder.Sent> due = new PriorityQueue<>(Comparator.comparingLong(Recorder.Sent::at));
+        long busyUntil = 0;
+        int seen = 0;
+        long[] asked = new long[2];
+        long[] served = new long[2];
+        for (int i = 0; i < 2_000; i++) {
+            host.request(i, i % 2);
+            asked[i % 2]++;
+            // What all servers share takes 25 ms for each: 40 a second of the 62 that come.
+            for (; seen < host.sends.size(); seen++) {
+                Recorder.Sent sent = host.sends.get(seen);
+                busyUntil = Math.max(busyUntil, host.now) + 25 * MS;
+                due.add(new Recorder.Sent(sent.request(), 0, sent.upstream(), busyUntil));
+            }
+            host.advance(16 * MS);
+            while (!due.isEmpty() && due.peek().at() <= host.now) {
+                Recorder.Sent done = due.poll();
+                host.rules.outcome(host.now, done.request(), 0, done.upstream(), Outcome.OK, 0, true,
+                        new float[0]);
+                served[(int) (done.request() % 2)]++;
+            }
+        }
+        double dearPart = (double) served[1] / asked[1];
+        double cheapPart = (double) served[0] / asked[0];
+        assertTrue(dearPart > 0.85 && cheapPart > 0.1, "dear " + dearPart + ", cheap " + cheapPart);
+        assertTrue(dearPart > 2 * cheapPart, "dear " + dearPart + ", cheap " + cheapPart);
+    }
+
+    private static Balancer.RequestClass worth(double worth) {
+        return new Balancer.RequestClass(500 * MS, 0, 1_000 * MS, worth, 0, ONCE.semantics(), ONCE.scope(),
+                0, false);
+    }
+
     private static long toCold(Recorder host, int since) {
         return host.sends.stream().skip(since).filter(sent -> sent.upstream() >= 100).count();
     }
--- a/sidecar/src/test/java/topazvalve/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/SidecarTest.java
@@ -275,6 +275,9 @@
         CountDownLatch go = new CountDownLatch(1);
         Stub.Script script = (socket, head) -> {
             try {
+                if (Stub.header(head, "Req-Id") == null) {
+                    return Stub.reply(socket, "200 OK", "", "");  // a probe
+                }
                 return switch (Stub.header(head, "Req-Id")) {
                     case "open" -> go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reset(socket);
                     case "bad", "unsafe" -> Stub.reply(socket, "500 No", "", "");
