--- a/decisions/src/main/java/topazvalve/decisions/Rules.java
+++ b/decisions/src/main/java/topazvalve/decisions/Rules.java
@@ -319,8 +319,7 @@
             this.kind = kind;
             this.tryLimit = tryLimit;
             this.elapsed = elapsed;
-            double stretched = kind.aim() + kind.aimStretch() * request.costHint();
-            this.aim = (long) Math.min(stretched, kind.deadline());
+            this.aim = (long) Math.min(kind.aim() + kind.aimStretch() * request.costHint(), kind.deadline());
             startClock(now);
         }
 
@@ -336,9 +335,12 @@
             aimAt = Long.MAX_VALUE;
         }
 
-        /** Held for longer, half of such requests would be late. */
+        /**
+         * Held for longer, half of such requests would be late. Danger: a class that is expected to be late,
+         * and so is never sent, teaches nobody that it would be in time by now.
+         */
         long hopelessAt() {
-            return aimAt - (long) (1.5 * expected);
+            return aimAt - (long) (1.5 * Math.min(expected, aim / 2.0));
         }
 
         /** Whether the last attempt is out; there is never more than one. */
@@ -989,7 +991,7 @@
             if (reports.ask(now, call)) {
                 return;
             }
-            if (call.attempts.isEmpty() && now + call.expected / 2 >= call.aimAt) {
+            if (call.attempts.isEmpty() && now + Math.min(call.expected, call.aim) / 2 >= call.aimAt) {
                 ledger.answer(call);  // a client's later try that can hardly be in time
             } else if (held > 0 || !place(now, call)) {
                 call.held = true;
@@ -1217,10 +1219,8 @@
             if (call.pending == 0 || (call.pending -= answers) > 0 || call.closed) {
                 return;
             }
-            double least = Double.MAX_VALUE;
-            for (Server server : call.looked) {
-                least = Math.min(least, server.holds);
-            }
+            double least = call.looked.stream().mapToDouble(each -> each.holds).min()
+                    .orElse(Double.MAX_VALUE);
             double full = FULL * call.aim / Math.max(1, turnTime) - 1;
             if (least == Double.MAX_VALUE) {
                 call.looked = List.of();
--- a/sidecar/src/main/java/topazvalve/sidecar/HttpSide.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/HttpSide.java
@@ -31,7 +31,7 @@
                 (settings, actions) -> new Rules(settings, config.seed(), actions),
                 new Pools<>(loop, time, config.options(), new HttpCodec(), config.mostUpstream()), mostOpen,
                 metrics, classes);
-        discovery = new Discovery(loop, config.discovery(), config.known().rev(), exchanges);
+        discovery = new Discovery(loop, config.discovery(), config.known(), exchanges);
         front = new Frontend(loop, exchanges, classes, config.options().names("parties"), mostClients,
                 lifecycle, new ByteBudget(config.bodyBytes()));
     }
