--- a/decisions/src/test/java/topazvalve/decisions/FleetRulesTest.java
+++ b/decisions/src/test/java/topazvalve/decisions/FleetRulesTest.java
@@ -89,7 +89,11 @@
     }
 
     private static Recorder probing(long seed) {
-        Balancer.Settings base = settings(ONCE);
+        return probing(seed, ONCE);
+    }
+
+    private static Recorder probing(long seed, Balancer.RequestClass requestClass) {
+        Balancer.Settings base = settings(requestClass);
         return new Recorder(new Balancer.Settings(0, SIDECARS, 0, 5 * MS, Balancer.Discovery.AUTOMATIC,
                 Balancer.Weights.SILENT, base.classes(), List.of(),
                 new Balancer.Allowed(true, true, false, true, true, 3, 1_000 * MS, 250 * MS), base.limits(),
@@ -124,20 +128,19 @@
     @Test
     void silentServersTakeUpNoRoom() {
         for (int seed = 0; seed < 5; seed++) {
-            Load load = new Load(probing(seed).withUpstreams(20));
-            load.play(2, 60, server -> 60 * MS);
-            load.play(6, 60, server -> server < 4 ? -1 : 60 * MS);
-            assertTrue(load.refused() < 0.05 * 360, "refused: " + load.refused());
+            Load load = new Load(probing(seed, aimed(100)).withUpstreams(20));
+            load.play(2, 60, server -> 20 * MS);
+            long before = load.refused();
+            load.play(2, 60, server -> server < 10 ? -1 : 20 * MS);
+            assertTrue(load.refused() - before < 12, "refused: " + (load.refused() - before));
         }
     }
 
     /** A request is never what finds out whether a silent server answers again. */
     @Test
     void aShutServerIsProbedBeforeARequestTriesIt() {
-        Recorder host = probing(3).withUpstreams(8);
-        Load load = new Load(host);
-        load.play(2, 60, server -> 60 * MS);
-        load.play(8, 60, server -> server == 2 ? -1 : 60 * MS);
+        Load load = withServerTwoShut();
+        Recorder host = load.host;
         int before = host.sends.size();
         long probes = host.log.stream().filter("probe 2"::equals).count();
         assertEquals(1, probes, "one is out and not answered");
@@ -155,10 +158,8 @@
     /** After a start the first answers may take far longer than the aim; those that follow don't. */
     @Test
     void aClassIsNotRefusedForGoodForItsFirstAnswers() {
-        Balancer.RequestClass aimed = new Balancer.RequestClass(200 * MS, 0, 1_000 * MS, 1, 0,
-                ONCE.semantics(), ONCE.scope(), 0, false);
         for (int seed = 0; seed < 5; seed++) {
-            Load load = new Load(new Recorder(settings(aimed), seed).withUpstreams(8));
+            Load load = new Load(new Recorder(settings(aimed(200)), seed).withUpstreams(8));
             load.play(2, 20, server -> 900 * MS);
             load.play(3, 60, server -> 20 * MS);
             long before = load.refused();
@@ -170,10 +171,8 @@
     /** Whoever serves, but knows no probes, is not shut for good. */
     @Test
     void manyUnansweredProbesLetARequestTryAllTheSame() {
-        Recorder host = probing(3).withUpstreams(8);
-        Load load = new Load(host);
-        load.play(2, 60, server -> 60 * MS);
-        load.play(8, 60, server -> server == 2 ? -1 : 60 * MS);
+        Load load = withServerTwoShut();
+        Recorder host = load.host;
         int before = host.sends.size();
         for (int i = 0; i < 6; i++) {
             assertEquals(0, host.sentTo(2, before), "after " + i);
@@ -217,6 +216,18 @@
         assertTrue(dearPart > 2 * cheapPart, "dear " + dearPart + ", cheap " + cheapPart);
     }
 
+    private static Load withServerTwoShut() {
+        Load load = new Load(probing(3).withUpstreams(8));
+        load.play(2, 60, server -> 60 * MS);
+        load.play(8, 60, server -> server == 2 ? -1 : 60 * MS);
+        return load;
+    }
+
+    private static Balancer.RequestClass aimed(long ms) {
+        return new Balancer.RequestClass(ms * MS, 0, 1_000 * MS, 1, 0, ONCE.semantics(), ONCE.scope(), 0,
+                false);
+    }
+
     private static Balancer.RequestClass worth(double worth) {
         return new Balancer.RequestClass(500 * MS, 0, 1_000 * MS, worth, 0, ONCE.semantics(), ONCE.scope(),
                 0, false);
@@ -270,7 +281,8 @@
         // Were the fleet full with this load, a cold server could do 0.3 of a warm one's part of it.
         double bears = 0.3 * all / (SERVERS - REPLACED + 0.3 * REPLACED);
         for (long got : cold) {
-            assertTrue(got < 3 * bears, got + " for a server that bears " + bears);
+            // It warms meanwhile, to 0.43; an even turn of all ten would be 1.9 times what it bears.
+            assertTrue(got < 1.6 * bears, got + " for a server that bears " + bears);
         }
     }
 }
