The end of a process waits for what is open; pushed lists are followed; departures are seen

Rules.follow asks only where lists are asked for, and HttpSide.start opened no watch either: no change was ever heard of. Read in the code, then shown by a test each: - Discovery took one line for one object, so an indented list was never taken. - It called a watch broken after 5 s; with the module's wait and a connect of 1 s a change came after the 6 s at which it counts as told. Now 3 s (lines come every 2 s), and the next watch is opened at once. - Reading was off behind an open request, so a client that had left was not heard of and its held request, and those behind it, went on. Bytes behind are now kept undecoded, within the byte budget, and read on. - Without the settings' cancel an attempt whose connection was coming up went on after its client had left. - A connection was lent again at once, so that a late second answer was the next request's. It rests 30 ms.

Ruled out: that a close with bytes unread loses the answer before it (the JDK ends its sending first). Also: the part of the warm-up that holds the loop runs before the listener opens; a request taken more than 0.6 s after SIGTERM is answered before the kill; idle connections close 0.4 s after it instead of 1 s; an exception on a client's side leaves no attempt uncounted; what the clock gives up the module is told of.

--- a/core/src/main/java/topazvalve/core/exchange/Exchange.java
+++ b/core/src/main/java/topazvalve/core/exchange/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import topazvalve.core.exchange.Phase.Step;
 import topazvalve.core.metrics.ClassCounts;
 import topazvalve.core.pool.Attempt;
@@ -79,6 +80,11 @@
         return attempts;
     }
 
+    /** Those of them that were carried further than the order. */
+    List<Attempt<Q, A>> sentAttempts() {
+        return attempts.stream().filter(Objects::nonNull).toList();
+    }
+
     /** The answer of an attempt begins; false if it is not wanted any more. */
     boolean begun(int number) {
         if (phase != Phase.OUT) {
--- a/core/src/main/java/topazvalve/core/exchange/Exchanges.java
+++ b/core/src/main/java/topazvalve/core/exchange/Exchanges.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.slf4j.Logger;
@@ -157,7 +156,7 @@
     @Override
     public long submit(Job<Q> job, Client<A> client) {
         ClassCounts counts = metrics.of(job.requestClass().name());
-        if (exchanges.size() >= mostOpen) {
+        if (exchanges.size() >= mostOpen || job.waitMs() <= 0) {
             counts.refused();
             client.refused(0);
             return 0;
@@ -191,13 +190,15 @@
     private void startClock(Exchange<Q, A> exchange) {
         long wait = wait(exchange);
         // The module answers by its own deadline; this holds for whatever it may have missed.
-        exchange.startClock(time.now() + wait, time.after(wait + ANSWER_ROOM / 2, () -> fail(exchange.id)));
+        exchange.startClock(time.now() + wait, time.after(wait + ANSWER_ROOM / 2, () -> {
+            fail(exchange.id);
+            giveUp(exchange);
+        }));
     }
 
     private void whole(Exchange<Q, A> exchange) {
         startClock(exchange);
-        exchange.attempts().stream().filter(Objects::nonNull)
-                .forEach(attempt -> attempt.limit(wait(exchange)));
+        exchange.sentAttempts().forEach(attempt -> attempt.limit(wait(exchange)));
         tell(now -> module.requestWhole(now, exchange.id));
     }
 
@@ -206,13 +207,26 @@
         Exchange<Q, A> exchange = exchanges.get(id);
         if (exchange != null && exchange.open()) {
             answer(exchange, () -> { });
-            tell(now -> module.hangup(now, id));
+            giveUp(exchange);
             if (exchange.answering() != null) {
                 exchange.answering().cancel();
             }
         }
     }
 
+    /**
+     * Nobody waits for it any more. What is not written yet is not sent on, also where the settings allow no
+     * cancelling: that is about work a server has.
+     */
+    private void giveUp(Exchange<Q, A> exchange) {
+        tell(now -> module.hangup(now, exchange.id));
+        for (Attempt<Q, A> attempt : List.copyOf(exchange.sentAttempts())) {
+            if (!attempt.written()) {
+                attempt.cancel();
+            }
+        }
+    }
+
     @Override
     public long active() {
         return exchanges.values().stream().filter(each -> each.open() && each.job.body().whole()).count();
@@ -314,29 +328,39 @@
         @Override
         public void ended(Outcome outcome, A answer, float[] load) {
             tell(now -> {
-                boolean answers = exchange.answeredBy(number);
-                if (answers && outcome == Outcome.OK) {
-                    answer(exchange, () -> {
-                        exchange.counts.served();
-                        exchange.client.finished();
-                    });
-                } else if (answers) {
-                    answer(exchange, () -> {
-                        exchange.counts.failed();
-                        exchange.client.cut();
-                    });
-                } else if (outcome == Outcome.OK && exchange.phase() == Phase.OUT) {
-                    answer(exchange, () -> {
-                        exchange.counts.served();
-                        exchange.client.served(answer);
-                    });
+                try {
+                    pass(outcome, answer);
+                } finally {
+                    // Danger: a fault on the client's side that left this out would leave the attempt
+                    // counted as in flight for good.
+                    exchange.ended();
+                    module.outcome(now, exchange.id, number, server, outcome, now - sentAt,
+                            !exchange.open(), load);
+                    forget(exchange);
                 }
-                exchange.ended();
-                module.outcome(now, exchange.id, number, server, outcome, now - sentAt, !exchange.open(),
-                        load);
-                forget(exchange);
             });
         }
+
+        /** Gives the client what this attempt has brought, if it is the one that answers. */
+        private void pass(Outcome outcome, A answer) {
+            boolean answers = exchange.answeredBy(number);
+            if (answers && outcome == Outcome.OK) {
+                answer(exchange, () -> {
+                    exchange.counts.served();
+                    exchange.client.finished();
+                });
+            } else if (answers) {
+                answer(exchange, () -> {
+                    exchange.counts.failed();
+                    exchange.client.cut();
+                });
+            } else if (outcome == Outcome.OK && exchange.phase() == Phase.OUT) {
+                answer(exchange, () -> {
+                    exchange.counts.served();
+                    exchange.client.served(answer);
+                });
+            }
+        }
     }
 
     @Override
--- a/core/src/main/java/topazvalve/core/lifecycle/Lifecycle.java
+++ b/core/src/main/java/topazvalve/core/lifecycle/Lifecycle.java
@@ -5,13 +5,21 @@
  * turned back, or is ending, which can't. Used on the event loop alone; knows nothing of any protocol.
  */
 public final class Lifecycle {
-    /** Until an emptying sidecar closes what idles: by then whoever asks has been told to go elsewhere. */
+    /** Until a lame duck closes what idles: by then whoever asks has been told to go elsewhere. */
     private static final long GRACE = 1_000_000_000;
+    /** New connections come for up to 0.4 s after SIGTERM: from then on nobody needs one that idles. */
+    private static final long END_GRACE = 400_000_000;
+    /** What comes up to then is not held against a process that is killed before it could answer. */
+    private static final long EXCUSED = 600_000_000;
+    /** For an answer's way out, and for a loop that is held up, before the kill. */
+    private static final long KILL_ROOM = 100_000_000;
 
     private boolean started;
     private boolean lame;
     private boolean ending;
     private long emptyingSince;
+    private long endedAt;
+    private long killAt;
 
     /** It is warm and listens. */
     public void started() {
@@ -30,12 +38,24 @@
         return true;
     }
 
-    /** It ends: nothing turns it back. */
-    public void end() {
+    /** It ends, and is killed no sooner than so many nanoseconds from now: nothing turns it back. */
+    public void end(long killedAfter) {
+        long now = System.nanoTime();
         if (!emptying()) {
-            emptyingSince = System.nanoTime();
+            emptyingSince = now;
         }
         ending = true;
+        endedAt = now;
+        killAt = now + killedAfter;
+    }
+
+    /**
+     * How long a request that comes now may take at the most, in nanoseconds: one that comes late in the end
+     * has to be answered before the kill, however long its client would wait; 0 or less if it can't be.
+     */
+    public long longestWait() {
+        long now = System.nanoTime();
+        return ending && now - endedAt > EXCUSED ? killAt - KILL_ROOM - now : Long.MAX_VALUE;
     }
 
     /** Whether clients should come here. One that comes all the same is served. */
@@ -50,6 +70,7 @@
 
     /** Whether a connection without a request should be closed now. */
     public boolean closesIdle() {
-        return emptying() && System.nanoTime() - emptyingSince >= GRACE;
+        long now = System.nanoTime();
+        return ending && now - endedAt >= END_GRACE || emptying() && now - emptyingSince >= GRACE;
     }
 }
--- a/core/src/main/java/topazvalve/core/pool/Codec.java
+++ b/core/src/main/java/topazvalve/core/pool/Codec.java
@@ -13,6 +13,9 @@
     /** A question to a server about itself. */
     record Probe<Q>(Q message, long patience) { }
 
+    /** How many nanoseconds an idle connection rests before it is lent again. */
+    long rest();
+
     /** Takes new settings over. */
     void retune(Options options);
 }
--- a/core/src/main/java/topazvalve/core/pool/Pool.java
+++ b/core/src/main/java/topazvalve/core/pool/Pool.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -38,14 +39,28 @@
         }
     }
 
-    /** The lately used one, unless more has come there than was asked for. */
-    PooledConnection<Q, A> take() {
-        PooledConnection<Q, A> last = idle.pollLast();
-        while (last != null && last.spoilt()) {
-            last.close();
-            last = idle.pollLast();
+    /**
+     * The one used last of those that have rested for so many nanoseconds, unless more has come there than
+     * was asked for; null if there is none.
+     */
+    PooledConnection<Q, A> take(long now, long rest) {
+        for (PooledConnection<Q, A> each : lastUsedFirst()) {
+            if (now - each.idleSince() < rest) {
+                continue;
+            }
+            if (!each.spoilt()) {
+                idle.remove(each);
+                return each;
+            }
+            each.close();
         }
-        return last;
+        return null;
+    }
+
+    private List<PooledConnection<Q, A>> lastUsedFirst() {
+        List<PooledConnection<Q, A>> resting = new ArrayList<>(idle.size());
+        idle.descendingIterator().forEachRemaining(resting::add);
+        return resting;
     }
 
     PooledConnection<Q, A> longestIdle() {
--- a/core/src/main/java/topazvalve/core/pool/Pools.java
+++ b/core/src/main/java/topazvalve/core/pool/Pools.java
@@ -69,7 +69,7 @@
             attempt.limit(wait);
         }
         pool.waits(attempt);
-        PooledConnection<Q, A> idle = pool.ready() ? pool.take() : null;
+        PooledConnection<Q, A> idle = pool.ready() ? pool.take(System.nanoTime(), codec.rest()) : null;
         if (!pool.ready()) {
             attempt.end(Outcome.CONNECT_FAILED);
         } else if (idle != null) {
--- a/core/src/test/java/topazvalve/core/exchange/Scene.java
+++ b/core/src/test/java/topazvalve/core/exchange/Scene.java
@@ -314,6 +314,8 @@
             assertTrue(each.readyThen, "sent to a drained server");
             assertTrue(rogue || semantics != Semantics.ONCE || !each.afterDoubt, "ran twice");
             assertTrue(!left || !each.begun || each.attempt.over(), "answers who has left");
+            assertTrue(!left || each.attempt.written() || each.attempt.over(),
+                    "waits to be sent on though its client has left");
         }
         assertTrue(back.sent.stream().noneMatch(each -> each.withoutBody), "sent again without its body");
     }
--- a/core/src/test/java/topazvalve/core/lifecycle/LifecycleTest.java
+++ b/core/src/test/java/topazvalve/core/lifecycle/LifecycleTest.java
@@ -34,7 +34,7 @@
     @Test
     void nothingTurnsTheEndBack() {
         lifecycle.started();
-        lifecycle.end();
+        lifecycle.end(1_000_000_000);
         assertFalse(lifecycle.lameDuck(false));
         assertFalse(lifecycle.takesClients());
         assertTrue(lifecycle.emptying());
--- a/sidecar/src/main/java/topazvalve/sidecar/HttpSide.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/HttpSide.java
@@ -12,6 +12,7 @@
 import topazvalve.decisions.Rules;
 import topazvalve.sidecar.config.Config;
 import topazvalve.sidecar.discovery.Discovery;
+import topazvalve.sidecar.discovery.Pushed;
 import topazvalve.sidecar.front.Frontend;
 import topazvalve.sidecar.http.Answer;
 import topazvalve.sidecar.http.Message;
@@ -29,15 +30,18 @@
         Time time = new LoopTime(loop);
         exchanges = new Exchanges<>(time, config.options(),
                 (settings, actions) -> new Rules(settings, config.seed(), actions),
-                new Pools<>(loop, time, config.options(), new HttpCodec(), config.mostUpstream()), mostOpen,
+                new Pools<>(loop, time, config.options(), new HttpCodec(HttpCodec.REST),
+                        config.mostUpstream()), mostOpen,
                 metrics, classes);
-        discovery = new Discovery(loop, config.discovery(), config.known(), exchanges);
+        discovery = new Discovery(loop, config.discovery(), config.known(),
+                Pushed.of(config.options()), exchanges);
         front = new Frontend(loop, exchanges, classes, config.options().names("parties"), mostClients,
                 lifecycle, budget);
     }
 
     void start(Config config) {
         exchanges.start(discovery, config.known().targets());
+        discovery.followPushed();
     }
 
     /** Takes a new configuration over: the settings, and where discovery is. */
--- a/sidecar/src/main/java/topazvalve/sidecar/Main.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/Main.java
@@ -110,7 +110,9 @@
             CountDownLatch done = new CountDownLatch(1);
             loop.execute(() -> sidecar.end(done));
             try {
-                done.await(sidecar.longestEndMs(), TimeUnit.MILLISECONDS);
+                if (!done.await(sidecar.longestEndMs(), TimeUnit.MILLISECONDS)) {
+                    LOG.warn("ended with requests or connections open");
+                }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
--- a/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
@@ -26,8 +26,14 @@
     private static final Logger LOG = LoggerFactory.getLogger("topazvalve");
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long ACCEPT_MS = 500;
-    /** SIGKILL comes no sooner than the longest deadline and 0.7 s more. */
-    private static final long SPARE_MS = 600;
+    /** SIGKILL comes no sooner than the longest deadline, taken as 3 s at the most, and 0.7 s more. */
+    private static final long LONGEST_COUNTED_MS = 3_000;
+    private static final long KILL_SPARE_MS = 700;
+    /**
+     * What is taken early in the end has its whole time, and its answer its way out. To leave before that
+     * would lose what is open; being killed loses no more.
+     */
+    private static final long SPARE_MS = 2_000;
     private static final long POLL_MS = 20;
 
     private final MultiThreadIoEventLoopGroup group;
@@ -71,15 +77,16 @@
      * and warms itself at the operators' door, since who calls at the socket may reach the other.
      */
     private void takeClients(InetSocketAddress door) {
+        WarmUp warmUp = WarmUp.begin(loop, config);
         if (clients.shared()) {
-            WarmUp.run(loop, config, door, () -> {
+            warmUp.end(door, () -> {
                 if (!lifecycle.emptying()) {
                     onceOpen(clients.open(group, http.front().connections()), "listen", at -> ready());
                 }
             });
         } else {
             onceOpen(clients.open(group, http.front().connections()), "listen",
-                    at -> WarmUp.run(loop, config, at, this::ready));
+                    at -> warmUp.end(at, this::ready));
         }
     }
 
@@ -143,7 +150,8 @@
     /** At SIGTERM: calls {@code done} once all is answered and nobody is connected any more. */
     void end(CountDownLatch done) {
         LOG.info("{} ending, {} open requests", config.name(), http.exchanges().active());
-        lifecycle.end();
+        long killedAfterMs = Math.min(longestDeadlineMs(), LONGEST_COUNTED_MS) + KILL_SPARE_MS;
+        lifecycle.end(TimeUnit.MILLISECONDS.toNanos(killedAfterMs));
         streams.end();
         loop.schedule(clients::stop, clients.shared() ? 0 : ACCEPT_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> {
@@ -155,8 +163,11 @@
 
     /** How long an end may take at the most; from any thread. */
     long longestEndMs() {
-        long longest = config.options().settings().classes().stream()
+        return Math.max(longestDeadlineMs() + SPARE_MS, Streams.longestEndMs(listeners));
+    }
+
+    private long longestDeadlineMs() {
+        return config.options().settings().classes().stream()
                 .mapToLong(RequestClass::deadline).max().orElse(0) / 1_000_000;
-        return Math.max(longest + SPARE_MS, Streams.longestEndMs(listeners));
     }
 }
--- a/sidecar/src/main/java/topazvalve/sidecar/WarmUp.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/WarmUp.java
@@ -43,26 +43,32 @@
     private static final long STEP = 10_000_000;
 
     private final Pools<Message, Answer> self;
-    private final Runnable done;
     private final long began;
+    private Runnable done;
 
-    private WarmUp(long began, Pools<Message, Answer> self, Runnable done) {
+    private WarmUp(long began, EventLoop loop, Config config) {
         this.began = began;
-        this.self = self;
-        this.done = done;
+        this.self = new Pools<>(loop, new LoopTime(loop), config.options(), new HttpCodec(0), 1);
     }
 
-    /** Runs on the loop; {@code done} follows also if there is no listener or it can't be reached. */
-    static void run(EventLoop loop, Config config, InetSocketAddress listener, Runnable done) {
+    /**
+     * What needs no socket, on the loop and in one go. Nobody must be able to connect yet: a request would
+     * lie unread, and its client's time run, until it is over.
+     */
+    static WarmUp begin(EventLoop loop, Config config) {
         long began = System.nanoTime();
         decide(began, config.options().settings());
         answer(began, loop, config);
-        Pools<Message, Answer> self = new Pools<>(loop, new LoopTime(loop), config.options(), new HttpCodec(),
-                1);
+        return new WarmUp(began, loop, config);
+    }
+
+    /** The rest; {@code done} follows also if there is no listener or it can't be reached. */
+    void end(InetSocketAddress listener, Runnable then) {
+        done = then;
         if (listener != null) {
             self.listed(0, listener, 0, true);
         }
-        new WarmUp(began, self, done).ask(ROUNDS);
+        ask(ROUNDS);
     }
 
     private static boolean late(long began) {
--- a/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
@@ -1,7 +1,6 @@
 package topazvalve.sidecar.discovery;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -20,10 +19,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -41,10 +38,14 @@
  */
 public final class Discovery implements ServerList {
     private static final Logger LOG = LoggerFactory.getLogger("discovery");
-    /** A call waits for up to 2 s and empty lines come every 2 s: no whole line for longer is a break. */
-    private static final long SILENCE_MS = 5_000;
+    /** A call may wait in discovery's queue, for 2 s where that is known, before it is answered or fails. */
+    private static final long ANSWER_MS = 5_000;
+    /**
+     * An answered watch brings an empty line every 2 s. One that has fallen silent counts as told 6 s later:
+     * by then it must be noticed, opened anew (a connect of up to 1 s, and a call that waits) and answered.
+     */
+    private static final long SILENCE_MS = 3_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    private static final int LONGEST_LINE = 4 << 20;
 
     private final EventLoop loop;
     private final ServerList.Listener listener;
@@ -53,20 +54,44 @@
     private long rev;
     private boolean moved;
     private boolean wanted;
+    /** How soon a watch that has ended is opened again; null where the module says so. */
+    private final Pushed pushed;
     /** Whether any server is, or was, in the list in force. */
     private boolean listed;
     private Call watch;
+    /** Why the last call failed; null if it did not. */
+    private String fault;
 
-    /** Tells {@code listener} of each answer and each failure, on the loop; {@code known} is in force now. */
-    public Discovery(EventLoop loop, InetSocketAddress address, Listing known,
+    /**
+     * Tells {@code listener} of each answer and each failure, on the loop; {@code known} is in force now.
+     * {@code pushed} is null where the module says when to follow.
+     */
+    public Discovery(EventLoop loop, InetSocketAddress address, Listing known, Pushed pushed,
             ServerList.Listener listener) {
         this.loop = loop;
+        this.pushed = pushed;
         this.address = address;
         this.rev = known.rev();
         this.listed = !known.targets().isEmpty();
         this.listener = listener;
     }
 
+    /**
+     * Where lists are pushed: follows from now on by itself. The module, to which lists come unasked there,
+     * does not ask; and what is there to be told counts as told from the first moment.
+     */
+    public void followPushed() {
+        if (pushed != null) {
+            watch(true);
+        }
+    }
+
+    private void followOn() {
+        if (wanted && watch == null) {
+            watch(true);
+        }
+    }
+
     /** Follows changes from the last one known; a watch that is asked for again replaces the old one. */
     @Override
     public void watch(boolean on) {
@@ -111,17 +136,20 @@
 
     @Override
     public void close() {
+        wanted = false;
         watch = null;
         List.copyOf(calls).forEach(Call::close);
     }
 
-    private final class Call extends SimpleChannelInboundHandler<HttpObject> {
+    private final class Call extends SimpleChannelInboundHandler<HttpObject> implements Lines.Taker {
         private final boolean watching;
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final Lines lines = new Lines();
         private Channel channel;
         private Future<?> silence;
         private boolean answered;
         private boolean over;
+        /** Changes up to this version came with a whole list that was asked for meanwhile. */
+        private long outdated = -1;
 
         Call(boolean watching) {
             this.watching = watching;
@@ -131,7 +159,8 @@
             calls.add(this);
             heard();
             new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                            pushed == null ? CONNECT_TIMEOUT_MS : pushed.connectMs())
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel made) {
@@ -162,8 +191,22 @@
             if (silence != null) {
                 silence.cancel(false);
             }
-            silence = loop.schedule(() -> fail("no whole line for " + SILENCE_MS + " ms"), SILENCE_MS,
-                    TimeUnit.MILLISECONDS);
+            boolean following = watching && answered;
+            fault = answered ? null : fault;
+            silence = following ? loop.schedule(this::followAnew, SILENCE_MS, TimeUnit.MILLISECONDS)
+                    : loop.schedule(() -> fail("no whole answer for " + ANSWER_MS + " ms"), ANSWER_MS,
+                            TimeUnit.MILLISECONDS);
+        }
+
+        /**
+         * The watch has fallen silent. That says nothing of discovery's load, so the next one is opened at
+         * once; sidecars whose watches fall silent together notice it spread over the time between lines.
+         */
+        private void followAnew() {
+            if (!over && watch == this) {
+                LOG.warn("watch opened anew: no whole line for {} ms", SILENCE_MS);
+                watch(true);
+            }
         }
 
         void close() {
@@ -177,12 +220,19 @@
 
         private void fail(String why) {
             if (!over) {
-                LOG.warn("list not taken, the one in force stays: {}", why);
+                if (!why.equals(fault)) {
+                    LOG.warn("list not taken, the one in force stays: {}", why);
+                }
+                fault = why;
                 close();
-                if (watch == this) {
-                    watch = null;
+                boolean followed = watch == this;
+                watch = followed ? null : watch;
+                if (pushed == null) {
+                    listener.listed(ListKind.FAILED, List.of());
+                } else if (followed) {
+                    // The module, which did not ask, is not to wait and ask again.
+                    loop.schedule(Discovery.this::followOn, pushed.pauseMs(), TimeUnit.MILLISECONDS);
                 }
-                listener.listed(ListKind.FAILED, List.of());
             }
         }
 
@@ -201,15 +251,9 @@
                 return;
             }
             if (message instanceof HttpContent content) {
-                take(content.content());
+                lines.take(content.content(), this);
                 if (!over && message instanceof LastHttpContent) {
-                    if (!watching && line.size() > 0) {
-                        take();
-                    }
-                    if (over) {
-                        return;
-                    }
-                    if (watching || !answered) {
+                    if (watching || !answered || lines.open()) {
                         fail("the answer ended");
                     } else {
                         close();
@@ -218,30 +262,29 @@
             }
         }
 
-        private void take(ByteBuf bytes) throws IOException {
-            while (bytes.isReadable() && !over) {
-                byte next = bytes.readByte();
-                if (next != '\n') {
-                    line.write(next);
-                    if (line.size() > LONGEST_LINE) {
-                        fail("a line of over " + LONGEST_LINE + " bytes");
-                    }
-                    continue;
-                }
+        @Override
+        public boolean empty() {
+            if (watching && !answered) {
+                // Nothing has changed since the version known: that, too, is the watch's answer.
+                answered = true;
+                listener.listed(ListKind.DELTA, List.of());
+            }
+            if (!over) {
                 heard();
-                if (!line.toString(StandardCharsets.UTF_8).isBlank()) {
-                    take();
-                } else if (watching && !answered) {
-                    // Nothing has changed since the version known: that, too, is the watch's answer.
-                    answered = true;
-                    listener.listed(ListKind.DELTA, List.of());
-                }
             }
+            return !over;
         }
 
-        private void take() throws IOException {
-            Node node = Json.read(line.toByteArray());
-            line.reset();
+        @Override
+        public boolean object(byte[] text) throws IOException {
+            take(Json.read(text));
+            if (!over) {
+                heard();
+            }
+            return !over;
+        }
+
+        private void take(Node node) {
             if (!node.path("rev").isWhole() || !node.path("targets").isArray()) {
                 fail("a line that is no list");
                 return;
@@ -255,9 +298,15 @@
                 fail("version " + listing.rev() + " is older than " + rev);
                 return;
             }
+            answered = true;
+            if (watching && !listing.all() && listing.rev() <= outdated) {
+                return;
+            }
             listed |= !listing.targets().isEmpty();
             rev = listing.rev();
-            answered = true;
+            if (!watching && watch != null) {
+                watch.outdated = rev;
+            }
             if (moved) {
                 moved = false;
                 if (!listing.all()) {
--- a/sidecar/src/main/java/topazvalve/sidecar/front/ClientConnection.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/ClientConnection.java
@@ -28,6 +28,7 @@
 import java.math.BigDecimal;
 import java.math.RoundingMode;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import topazvalve.core.exchange.Client;
@@ -56,6 +57,8 @@
     private static final int LINGER_BYTES = 1 << 20;
     /** A new connection's request comes at once; one that is silent for longer makes room first. */
     private static final long SILENT_TIME = 100_000_000;
+    /** For the loop to look at a socket once more. */
+    private static final long LOOK_MS = 1;
     /** A connection made while the sidecar empties is given so long for its request. */
     private static final long FIRST_TIME = 300_000_000;
     private final Frontend owner;
@@ -64,8 +67,9 @@
     private final Lifecycle lifecycle;
     private final ByteBudget budget;
     private final Channel channel;
-    /** What came behind an open request. Such a client is read no further: it is one read's worth. */
+    /** What was read in one piece with a request that is open; what comes later, the decoder keeps. */
     private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>(1);
+    private final RequestDecoder decoder;
     private Stage stage = Stage.NEW;
     private long since = System.nanoTime();
     private int lingered;
@@ -73,6 +77,10 @@
     private RequestBody body;
     /** Whether the end of the body is still to come. */
     private boolean incoming;
+    /** The body was left unread for a while, so that its client may have gone unseen. */
+    private boolean leftUnread;
+    /** Its last byte is there and counts after one more look at the socket. */
+    private boolean looking;
     private boolean keepAlive;
     private boolean oldVersion;
     private String id;
@@ -90,6 +98,11 @@
         this.lifecycle = lifecycle;
         this.budget = budget;
         this.channel = channel;
+        this.decoder = new RequestDecoder(this, budget);
+    }
+
+    RequestDecoder decoder() {
+        return decoder;
     }
 
     /** Bytes have come; false if they are to be dropped, since the client was turned away. */
@@ -97,7 +110,7 @@
         if (stage == Stage.LINGERING) {
             lingered += bytes;
             if (lingered > LINGER_BYTES) {
-                channel.config().setAutoRead(false);
+                readWhileRoom();
             }
             return false;
         }
@@ -157,10 +170,14 @@
         return stage == Stage.ASKED || stage == Stage.ANSWERED;
     }
 
+    /** Whether what comes now belongs to a later request. */
+    boolean busy() {
+        return looking || !waiting.isEmpty() || occupied() && !incoming;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-        if (!waiting.isEmpty() || occupied() && !incoming) {
-            channel.config().setAutoRead(false);
+        if (busy()) {
             waiting.add(ReferenceCountUtil.retain(message));
         } else {
             take(message);
@@ -193,6 +210,10 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
             return;
         }
+        if (content instanceof LastHttpContent && leftUnread) {
+            lookFirst(content.retain());
+            return;
+        }
         body.add(content.content());
         if (content instanceof LastHttpContent) {
             incoming = false;
@@ -201,6 +222,7 @@
                 submit();
             }
         } else if (body.full()) {
+            leftUnread = true;
             channel.config().setAutoRead(false);
             if (stage == Stage.READING) {
                 submit();
@@ -208,14 +230,42 @@
         }
     }
 
+    /**
+     * Holds a body's last bytes until the socket has been looked at once more. Danger: who closed behind them
+     * while nobody read is heard of only with the next read, and an upstream would have all of it by then.
+     */
+    private void lookFirst(HttpContent last) {
+        looking = true;
+        RequestBody looked = body;
+        channel.eventLoop().schedule(() -> {
+            if (looking && body == looked) {
+                looking = false;
+                leftUnread = false;
+                add(last);
+                proceed();
+            }
+            last.release();
+        }, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
     /** There is room for more of the body. */
     private void readOn() {
-        if (waiting.isEmpty() && !channel.config().isAutoRead()) {
+        if (!channel.config().isAutoRead()) {
             since = System.nanoTime();
-            channel.config().setAutoRead(true);
+            readWhileRoom();
         }
     }
 
+    /**
+     * A client that leaves is seen only while its connection is read: reading stops for nothing but want of
+     * room.
+     */
+    void readWhileRoom() {
+        boolean room = stage == Stage.LINGERING ? lingered <= LINGER_BYTES
+                : decoder.hasRoom() && !(incoming && body.full());
+        channel.config().setAutoRead(room);
+    }
+
     /** Looks at all that a request's head tells, so that the body of a bad one need not come. */
     private void begin(HttpRequest head) {
         stage = Stage.READING;
@@ -223,6 +273,7 @@
         keepAlive = HttpUtil.isKeepAlive(head);
         oldVersion = head.protocolVersion().minorVersion() == 0;
         job = null;
+        leftUnread = false;
         body = new RequestBody(budget, HttpUtil.getContentLength(head, -1L));
         body.onRoom(this::readOn);
         incoming = true;
@@ -261,7 +312,7 @@
             reject(HttpResponseStatus.CONFLICT, "Req-Id in use");
             return;
         }
-        Job<Message> taken = job;
+        Job<Message> taken = job.within(lifecycle.longestWait());
         job = null;
         enter(Stage.ASKED);
         long number = intake.submit(taken, this);
@@ -348,7 +399,7 @@
 
     /** Whether the connection stays: a request that has been read already must be answered first. */
     private boolean keeps() {
-        return keepAlive && (!lifecycle.emptying() || !waiting.isEmpty());
+        return keepAlive && (!lifecycle.emptying() || !waiting.isEmpty() || decoder.keeps());
     }
 
     private void answer(FullHttpResponse response) {
@@ -381,7 +432,7 @@
 
     /** Goes on with what came meanwhile. */
     private void proceed() {
-        while (!waiting.isEmpty() && (incoming || !occupied())) {
+        while (!waiting.isEmpty() && !looking && (incoming || !occupied())) {
             HttpObject next = waiting.poll();
             try {
                 take(next);
@@ -389,9 +440,8 @@
                 ReferenceCountUtil.release(next);
             }
         }
-        if (waiting.isEmpty() && (incoming ? !body.full() : !occupied()) && lingered <= LINGER_BYTES) {
-            channel.config().setAutoRead(true);
-        }
+        decoder.goOn();
+        readWhileRoom();
     }
 
     /** The request that was open is no more. */
@@ -417,15 +467,22 @@
     /** Answers, sends no more, and for a while reads on what is dropped unseen. */
     private void end(FullHttpResponse response) {
         enter(Stage.LINGERING);
+        forgetInput();
+        readWhileRoom();
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        HttpUtil.setContentLength(response, response.content().readableBytes());
+        channel.writeAndFlush(response).addListener(done -> ((DuplexChannel) channel).shutdownOutput());
+    }
+
+    /** What came is of no interest any more. */
+    private void forgetInput() {
         job = null;
         incoming = false;
+        looking = false;
         forget();
         waiting.forEach(ReferenceCountUtil::release);
         waiting.clear();
-        channel.config().setAutoRead(true);
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        HttpUtil.setContentLength(response, response.content().readableBytes());
-        channel.writeAndFlush(response).addListener(done -> ((DuplexChannel) channel).shutdownOutput());
+        decoder.drop();
     }
 
     @Override
@@ -435,11 +492,8 @@
         if (flow != null) {
             endFlow();
         }
-        forget();
         enter(Stage.LINGERING);
-        incoming = false;
-        waiting.forEach(ReferenceCountUtil::release);
-        waiting.clear();
+        forgetInput();
         if (open != 0) {
             intake.hangup(open);
         }
--- a/sidecar/src/main/java/topazvalve/sidecar/front/Frontend.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/Frontend.java
@@ -67,7 +67,7 @@
                 ClientConnection connection = new ClientConnection(Frontend.this, intake, reader,
                         lifecycle, budget, made);
                 connections.add(connection);
-                made.pipeline().addLast(new HttpResponseEncoder(), new RequestDecoder(connection),
+                made.pipeline().addLast(new HttpResponseEncoder(), connection.decoder(),
                         connection);
             }
         };
--- a/sidecar/src/main/java/topazvalve/sidecar/upstream/HttpCodec.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/upstream/HttpCodec.java
@@ -12,9 +12,20 @@
 
 /** HTTP/1.1 towards order servers. */
 public final class HttpCodec implements Codec<Message, Answer> {
+    /**
+     * Danger: a second answer that a server sends some milliseconds behind the first would be taken for the
+     * next request's; on a connection that rests it shows, and closes it.
+     */
+    public static final long REST = 30_000_000;
     private static final long PROBE_TIMEOUT = 250_000_000;
 
     private final LoadReports reports = new LoadReports();
+    private final long rest;
+
+    /** Whose connections rest for so many nanoseconds before they are lent again. */
+    public HttpCodec(long rest) {
+        this.rest = rest;
+    }
 
     @Override
     public Carrier<Message, Answer> carrier(PooledConnection<Message, Answer> connection) {
@@ -28,6 +39,11 @@
                 new DefaultHttpHeaders().set(HttpHeaderNames.HOST, "app.svc")), PROBE_TIMEOUT);
     }
 
+    @Override
+    public long rest() {
+        return rest;
+    }
+
     @Override
     public void retune(Options options) {
         reports.take(options.list("report.fields"));
--- a/sidecar/src/test/java/topazvalve/sidecar/AdminTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/AdminTest.java
@@ -34,7 +34,7 @@
             assertEquals(503, status(bed, call("GET", "/_ready")), "not yet");
             bed.loop.submit(bed.lifecycle::started).sync();
             assertEquals(200, status(bed, call("GET", "/_ready")));
-            bed.loop.submit(bed.lifecycle::end).sync();
+            bed.loop.submit(() -> bed.lifecycle.end(Long.MAX_VALUE / 2)).sync();
             assertEquals(503, status(bed, call("GET", "/_ready")));
             assertEquals(409, status(bed, call("POST", "/_lameduck/off")), "the end is not turned back");
         }
--- a/sidecar/src/test/java/topazvalve/sidecar/DiscoveryTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/DiscoveryTest.java
@@ -6,16 +6,20 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import topazvalve.decisions.Balancer.ListKind;
 import topazvalve.decisions.Balancer.State;
 import topazvalve.sidecar.discovery.Discovery;
 import topazvalve.sidecar.discovery.Listing;
+import topazvalve.sidecar.discovery.Pushed;
 import topazvalve.core.servers.Target;
 
 /** The list and its watch against a discovery that answers in awkward ways. */
@@ -49,10 +53,113 @@
     }
 
     private Discovery discovery(Stub stub, Listing known) {
-        return new Discovery(loop, stub.address(), known,
+        return discovery(stub, known, null);
+    }
+
+    private Discovery discovery(Stub stub, Listing known, Pushed pushed) {
+        return new Discovery(loop, stub.address(), known, pushed,
                 (kind, targets) -> told.add(new Told(kind, targets)));
     }
 
+    /** An object over several lines, cut anywhere; its empty lines and braces within words say nothing. */
+    @Test
+    void indentedListsAreTakenWholeAndOnAWatch() throws Exception {
+        String indented = Bed.JSON.writerWithDefaultPrettyPrinter().writeValueAsString(Bed.JSON.readTree(
+                "{\"rev\":43,\"all\":true,\"targets\":["
+                        + entry("DRAINING").replace("\"m\"", "\"m}\\\"{\"") + "]}")).replace("\n", "\r\n\n");
+        try (Stub stub = new Stub((socket, head) -> {
+            if (!head.contains("watch=1")) {
+                return Stub.reply(socket, "200 OK", "", indented);
+            }
+            Stub.write(socket, CHUNKED);
+            for (int i = 0; i < indented.length(); i += 7) {
+                Stub.write(socket, chunk(indented.substring(i, Math.min(indented.length(), i + 7))));
+            }
+            Stub.write(socket, chunk("\n{\"rev\":44,\n \"all\":false,\n\"targets\":[]}\n"));
+            return true;
+        })) {
+            Discovery discovery = discovery(stub);
+            loop.execute(discovery::fetch);
+            Told list = Stub.next(told);
+            assertEquals(ListKind.FULL, list.kind);
+            assertEquals("m}\"{", list.targets.get(0).kind());
+            loop.execute(() -> discovery.watch(true));
+            assertEquals(list, Stub.next(told), "the same on a watch");
+            assertEquals(new Told(ListKind.DELTA, List.of()), Stub.next(told));
+        }
+    }
+
+    /** Silence says nothing of discovery's load: the watch is opened anew at once, and nobody has to ask. */
+    @Test
+    void watchThatFallsSilentIsOpenedAnew() throws Exception {
+        try (Stub stub = new Stub((socket, head) -> {
+            Stub.write(socket, CHUNKED + chunk("\n"));
+            return true;
+        })) {
+            Discovery discovery = discovery(stub);
+            loop.execute(() -> discovery.watch(true));
+            Stub.next(stub.heads);
+            long began = System.nanoTime();
+            assertEquals(new Told(ListKind.DELTA, List.of()), Stub.next(told));
+            Stub.next(stub.heads);
+            assertEquals("end", Stub.next(stub.ended), "the old one is closed");
+            assertTrue(System.nanoTime() - began >= TimeUnit.SECONDS.toNanos(2), "after a missed line");
+            assertEquals(new Told(ListKind.DELTA, List.of()), Stub.next(told), "no failure is told");
+        }
+    }
+
+    /** The module does not ask for lists that are pushed, nor is it told that it should. */
+    @Test
+    void pushedListIsFollowedThroughEveryFailure() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Stub stub = new Stub((socket, head) -> {
+            if (calls.incrementAndGet() <= 3) {
+                return false;
+            }
+            Stub.write(socket, CHUNKED + chunk("{\"rev\":43,\"all\":true,\"targets\":["
+                    + entry("DRAINING") + "]}\n"));
+            return true;
+        })) {
+            Discovery discovery = discovery(stub, new Listing(41, true, List.of()), new Pushed(10, 1000));
+            loop.execute(discovery::followPushed);
+            assertEquals(ListKind.FULL, Stub.next(told).kind);
+            assertEquals(4, calls.get());
+        }
+    }
+
+    /** Answers to a fetch and a watch cross: what the watch tells of before the fetched list is old. */
+    @Test
+    void changesOlderThanAFetchedListAreNotTaken() throws Exception {
+        CountDownLatch fetched = new CountDownLatch(1);
+        String whole = "{\"rev\":45,\"all\":true,\"targets\":[" + entry("DRAINING") + "]}\n";
+        try (Stub stub = new Stub((socket, head) -> {
+            if (!head.contains("watch=1")) {
+                return Stub.reply(socket, "200 OK", "", whole);
+            }
+            Stub.write(socket, CHUNKED + chunk("\n"));
+            await(fetched);
+            Stub.write(socket, chunk("{\"rev\":44,\"all\":false,\"targets\":[" + entry("SERVING") + "]}\n")
+                    + chunk("{\"rev\":46,\"all\":false,\"targets\":[]}\n"));
+            return true;
+        })) {
+            Discovery discovery = discovery(stub);
+            loop.execute(() -> discovery.watch(true));
+            assertEquals(new Told(ListKind.DELTA, List.of()), Stub.next(told));
+            loop.execute(discovery::fetch);
+            assertEquals(ListKind.FULL, Stub.next(told).kind);
+            fetched.countDown();
+            assertEquals(new Told(ListKind.DELTA, List.of()), Stub.next(told), "only what is newer");
+        }
+    }
+
+    private static void await(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     /** Lines come split over chunks and chunks hold several; an odd entry spoils none but itself. */
     @Test
     void watchIsReadLineByLineAndItsEndIsAFailure() throws Exception {
--- a/sidecar/src/test/java/topazvalve/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/SidecarTest.java
@@ -25,6 +25,7 @@
 import topazvalve.sidecar.http.Answer;
 import topazvalve.sidecar.http.Message;
 import topazvalve.core.stream.RequestBody;
+import topazvalve.sidecar.upstream.HttpCodec;
 import topazvalve.core.stream.Source;
 
 /** The whole sidecar between a client and upstreams on loopback. */
@@ -183,6 +184,8 @@
         try (Stub upstream = new Stub(counting); Bed bed = Bed.with(upstream)) {
             for (int i = 0; i < 5; i++) {
                 assertEquals(200, bed.ask(Bed.look("a" + i)).status());
+                // By the loop's clock, as the rest is: each next request finds a rested connection.
+                bed.loop.schedule(() -> { }, HttpCodec.REST, TimeUnit.NANOSECONDS).sync();
             }
             assertEquals(1, connections.getCount(), "one connection for all five");
         }
@@ -317,7 +320,7 @@
             assertEquals(503, idle.ask("GET /up HTTP/1.1\r\nHost: a\r\n\r\n").status());
             Stub.write(busy.socket, Bed.look("a"));
             Stub.next(upstream.heads);
-            bed.loop.submit(bed.lifecycle::end).sync();
+            bed.loop.submit(() -> bed.lifecycle.end(Long.MAX_VALUE / 2)).sync();
             assertEquals(-1, idle.socket.getInputStream().read(), "an idle connection is ended");
             Bed.Answer meanwhile = bed.ask("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
             assertEquals(503, meanwhile.status(), "and its client still gets in");
--- a/sidecar/src/test/java/topazvalve/sidecar/UpstreamsTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/UpstreamsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -49,10 +50,15 @@
 
     private Pools<Message, Answer> upstreams(InetSocketAddress address, long connectTimeout,
             int most) throws Exception {
+        return upstreams(address, connectTimeout, most, 0);
+    }
+
+    private Pools<Message, Answer> upstreams(InetSocketAddress address, long connectTimeout,
+            int most, long rest) throws Exception {
         Options options = new Options("caps.connectTimeout=" + connectTimeout
                 + "\ncaps.connIdle=60000000000\nreport.fields=rate,q");
         return loop.submit(() -> {
-            Pools<Message, Answer> made = new Pools<>(loop, new LoopTime(loop), options, new HttpCodec(),
+            Pools<Message, Answer> made = new Pools<>(loop, new LoopTime(loop), options, new HttpCodec(rest),
                     most);
             made.listed(1, address, 0, true);
             return made;
@@ -73,6 +79,26 @@
         outcomes.add(outcome);
     }
 
+    /** A second answer that comes late finds its connection resting, and nobody takes it for his own. */
+    @Test
+    void lateSecondAnswerIsNobodys() throws Exception {
+        BlockingQueue<Socket> sockets = new LinkedBlockingQueue<>();
+        try (Stub upstream = new Stub((socket, head) -> {
+            sockets.add(socket);
+            return Stub.reply(socket, "200 OK", "", "x");
+        })) {
+            Pools<Message, Answer> upstreams = upstreams(upstream.address(), LONG, 10, LONG);
+            send(upstreams);
+            assertEquals(Outcome.OK, Stub.next(outcomes));
+            send(upstreams);
+            assertEquals(Outcome.OK, Stub.next(outcomes));
+            Socket first = Stub.next(sockets);
+            assertTrue(first != Stub.next(sockets), "not on a connection that has not rested");
+            Stub.reply(first, "200 OK", "", "again");
+            assertEquals("end", Stub.next(upstream.ended), "and is closed");
+        }
+    }
+
     /** A listener whose queue is full: its machine is there, but no connection comes up. */
     private static List<Socket> fill(ServerSocket server) throws IOException {
         List<Socket> fillers = new ArrayList<>();
--- a/tcp/src/main/java/topazvalve/tcp/TcpCodec.java
+++ b/tcp/src/main/java/topazvalve/tcp/TcpCodec.java
@@ -26,6 +26,12 @@
         throw new UnsupportedOperationException("probes of opaque streams");
     }
 
+    /** None is lent twice. */
+    @Override
+    public long rest() {
+        return 0;
+    }
+
     @Override
     public void retune(Options options) { }
 }
