--- a/core/src/main/java/topazvalve/core/pool/Pool.java
+++ b/core/src/main/java/topazvalve/core/pool/Pool.java
@@ -11,6 +11,8 @@
 /** One server's connections; the least lately used idle one comes first. */
 final class Pool<Q, A> {
     private final ArrayDeque<PooledConnection<Q, A>> idle = new ArrayDeque<>();
+    /** Idle ones that an attempt waits for while they rest. */
+    private final Set<PooledConnection<Q, A>> reserved = new LinkedHashSet<>();
     private final Set<Attempt<Q, A>> unwritten = new LinkedHashSet<>();
     /** Every connection that is not closed. */
     private final Set<PooledConnection<Q, A>> all = new LinkedHashSet<>();
@@ -63,11 +65,25 @@
         return resting;
     }
 
+    /** Takes the one that has rested for longest, though not for long enough; null if there is none. */
+    PooledConnection<Q, A> longestRested() {
+        PooledConnection<Q, A> first = idle.pollFirst();
+        while (first != null && first.spoilt()) {
+            first.close();
+            first = idle.pollFirst();
+        }
+        if (first != null) {
+            reserved.add(first);
+        }
+        return first;
+    }
+
     PooledConnection<Q, A> longestIdle() {
         return idle.peekFirst();
     }
 
     void idles(PooledConnection<Q, A> connection) {
+        reserved.remove(connection);
         idle.addLast(connection);
     }
 
@@ -78,6 +94,7 @@
     void left(PooledConnection<Q, A> connection) {
         all.remove(connection);
         idle.remove(connection);
+        reserved.remove(connection);
     }
 
     /** Counts as not yet written, until {@link #noMore}. */
@@ -103,6 +120,11 @@
         while (!idle.isEmpty()) {
             idle.pollFirst().close();
         }
+        List.copyOf(reserved).forEach(PooledConnection::close);
+    }
+
+    void leases(PooledConnection<Q, A> connection) {
+        reserved.remove(connection);
     }
 
     /** Closes those that have idled for longer than so many nanoseconds. */
--- a/core/src/main/java/topazvalve/core/pool/PooledConnection.java
+++ b/core/src/main/java/topazvalve/core/pool/PooledConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import topazvalve.core.stream.ByteBudget;
 import topazvalve.decisions.Balancer.Outcome;
 
@@ -29,6 +30,8 @@
     private State state = State.CONNECTING;
     private Channel channel;
     private long idleSince;
+    /** What waits for this idle connection while it rests; null if nothing does. */
+    private Attempt<Q, A> waiting;
 
     PooledConnection(Pools<Q, A> owner, EventLoop loop, Pool<Q, A> pool, Codec<Q, A> codec) {
         this.owner = owner;
@@ -74,8 +77,31 @@
         }
     }
 
+    /** Carries another attempt after so many nanoseconds; one that closes meanwhile is replaced at once. */
+    void reserve(Attempt<Q, A> next, long rest) {
+        waiting = next;
+        loop.schedule(this::rested, Math.max(0, rest), TimeUnit.NANOSECONDS);
+    }
+
+    private void rested() {
+        Attempt<Q, A> next = waiting;
+        if (next == null) {
+            return;
+        }
+        waiting = null;
+        if (!channel.isActive() || spoilt()) {
+            close();
+            owner.replace(pool, next);
+        } else if (next.over()) {
+            pool.idles(this);
+        } else {
+            lease(next);
+        }
+    }
+
     /** Carries another attempt. */
     void lease(Attempt<Q, A> next) {
+        pool.leases(this);
         state = State.LEASED;
         next.carried(this::close);
         carrier.carry(next);
@@ -120,6 +146,12 @@
             pool.left(this);
             carrier.closing();
         }
+        Attempt<Q, A> next = waiting;
+        waiting = null;
+        if (next != null) {
+            // Not from within this call: what closes it may be at work on its pool.
+            loop.execute(() -> owner.replace(pool, next));
+        }
         if (channel != null) {
             channel.close();
         }
--- a/core/src/main/java/topazvalve/core/pool/Pools.java
+++ b/core/src/main/java/topazvalve/core/pool/Pools.java
@@ -69,17 +69,41 @@
             attempt.limit(wait);
         }
         pool.waits(attempt);
-        PooledConnection<Q, A> idle = pool.ready() ? pool.take(System.nanoTime(), codec.rest()) : null;
+        long now = System.nanoTime();
+        PooledConnection<Q, A> idle = pool.ready() ? pool.take(now, codec.rest()) : null;
+        PooledConnection<Q, A> resting = idle == null && pool.ready() ? pool.longestRested() : null;
         if (!pool.ready()) {
             attempt.end(Outcome.CONNECT_FAILED);
         } else if (idle != null) {
             idle.lease(attempt);
-        } else if (connections >= mostConnections && !closeLongestIdle()) {
+        } else if (resting != null) {
+            // Sooner than a new one comes up, and it costs the server nothing.
+            resting.reserve(attempt, resting.idleSince() + codec.rest() - now);
+        } else {
+            open(pool, attempt);
+        }
+        return attempt;
+    }
+
+    /** Carries it on a connection of its own, unless it is over or its server takes nothing any more. */
+    void open(Pool<Q, A> pool, Attempt<Q, A> attempt) {
+        if (attempt.over()) {
+            return;
+        }
+        if (connections >= mostConnections && !closeLongestIdle()) {
             attempt.end(Outcome.NEVER_SENT);
         } else {
             new PooledConnection<>(this, loop, pool, codec).open(attempt, connectTimeoutMs);
         }
-        return attempt;
+    }
+
+    /** Its connection is lost before anything was written there: it gets another, if its server takes it. */
+    void replace(Pool<Q, A> pool, Attempt<Q, A> attempt) {
+        if (pool.ready()) {
+            open(pool, attempt);
+        } else {
+            attempt.end(Outcome.CONNECT_FAILED);
+        }
     }
 
     @Override
--- a/sidecar/src/main/java/topazvalve/sidecar/upstream/HttpCodec.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/upstream/HttpCodec.java
@@ -14,9 +14,10 @@
 public final class HttpCodec implements Codec<Message, Answer> {
     /**
      * Danger: a second answer that a server sends some milliseconds behind the first would be taken for the
-     * next request's; on a connection that rests it shows, and closes it.
+     * next request's; on a connection that rests it shows, and closes it. Longer would keep more connections
+     * open, which take of a server's capacity; it is about what a new one takes to come up.
      */
-    public static final long REST = 30_000_000;
+    public static final long REST = 10_000_000;
     private static final long PROBE_TIMEOUT = 250_000_000;
 
     private final LoadReports reports = new LoadReports();
--- a/sidecar/src/test/java/topazvalve/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/SidecarTest.java
@@ -25,7 +25,6 @@
 import topazvalve.sidecar.http.Answer;
 import topazvalve.sidecar.http.Message;
 import topazvalve.core.stream.RequestBody;
-import topazvalve.sidecar.upstream.HttpCodec;
 import topazvalve.core.stream.Source;
 
 /** The whole sidecar between a client and upstreams on loopback. */
@@ -184,8 +183,6 @@
         try (Stub upstream = new Stub(counting); Bed bed = Bed.with(upstream)) {
             for (int i = 0; i < 5; i++) {
                 assertEquals(200, bed.ask(Bed.look("a" + i)).status());
-                // By the loop's clock, as the rest is: each next request finds a rested connection.
-                bed.loop.schedule(() -> { }, HttpCodec.REST, TimeUnit.NANOSECONDS).sync();
             }
             assertEquals(1, connections.getCount(), "one connection for all five");
         }
--- a/sidecar/src/test/java/topazvalve/sidecar/UpstreamsTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/UpstreamsTest.java
@@ -79,7 +79,7 @@
         outcomes.add(outcome);
     }
 
-    /** A second answer that comes late finds its connection resting, and nobody takes it for his own. */
+    /** A second answer that comes late finds its connection resting: who waits for that one gets another. */
     @Test
     void lateSecondAnswerIsNobodys() throws Exception {
         BlockingQueue<Socket> sockets = new LinkedBlockingQueue<>();
@@ -91,11 +91,35 @@
             send(upstreams);
             assertEquals(Outcome.OK, Stub.next(outcomes));
             send(upstreams);
-            assertEquals(Outcome.OK, Stub.next(outcomes));
+            loop.submit(() -> { }).sync();
             Socket first = Stub.next(sockets);
-            assertTrue(first != Stub.next(sockets), "not on a connection that has not rested");
             Stub.reply(first, "200 OK", "", "again");
-            assertEquals("end", Stub.next(upstream.ended), "and is closed");
+            assertEquals("end", Stub.next(upstream.ended), "it is closed");
+            assertEquals(Outcome.OK, Stub.next(outcomes));
+            assertTrue(first != Stub.next(sockets), "not on the one that had not rested");
+        }
+    }
+
+    /** Who waits for a resting connection gets it, with no new one; a drain meanwhile ends the wait. */
+    @Test
+    void restingConnectionIsWaitedFor() throws Exception {
+        BlockingQueue<Socket> sockets = new LinkedBlockingQueue<>();
+        try (Stub upstream = new Stub((socket, head) -> {
+            sockets.add(socket);
+            return Stub.reply(socket, "200 OK", "", "x");
+        })) {
+            Pools<Message, Answer> upstreams = upstreams(upstream.address(), LONG, 10, 50_000_000);
+            send(upstreams);
+            assertEquals(Outcome.OK, Stub.next(outcomes));
+            send(upstreams);
+            assertEquals(Outcome.OK, Stub.next(outcomes));
+            assertEquals(Stub.next(sockets), Stub.next(sockets));
+            loop.submit(() -> {
+                send(upstreams, 1, get("/api/x"), this::ended);
+                upstreams.listed(1, upstream.address(), 0, false);
+            }).sync();
+            assertEquals(Outcome.CONNECT_FAILED, Stub.next(outcomes));
+            assertEquals("end", Stub.next(upstream.ended), "its connections are closed");
         }
     }
 
