A body's last bytes wait until its client's end could be heard; a flaky test mended

Seen: a new test, in which a body has no room while its request is held and its client closes behind the last byte, found the whole request at the server. The look at the socket that was to prevent it looked at nothing: reading was still off for want of room, and a task scheduled 1 ms ahead could run before the loop's next look. At fault: ClientConnection.lookFirst and readWhileRoom. Reading is on while looking, and the rest is scheduled from within a task, which runs after the next look however late the loop is. The test fails with the mend taken out.

--- a/sidecar/src/main/java/topazvalve/sidecar/front/ClientConnection.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/ClientConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
@@ -57,8 +58,6 @@
     private static final int LINGER_BYTES = 1 << 20;
     /** A new connection's request comes at once; one that is silent for longer makes room first. */
     private static final long SILENT_TIME = 100_000_000;
-    /** For the loop to look at a socket once more. */
-    private static final long LOOK_MS = 1;
     /** A connection made while the sidecar empties is given so long for its request. */
     private static final long FIRST_TIME = 300_000_000;
     private final Frontend owner;
@@ -236,8 +235,9 @@
      */
     private void lookFirst(HttpContent last) {
         looking = true;
+        readWhileRoom();
         RequestBody looked = body;
-        channel.eventLoop().schedule(() -> {
+        Runnable goOn = () -> {
             if (looking && body == looked) {
                 looking = false;
                 leftUnread = false;
@@ -245,7 +245,10 @@
                 proceed();
             }
             last.release();
-        }, LOOK_MS, TimeUnit.MILLISECONDS);
+        };
+        // What is scheduled from within a task runs after the loop's next look at its sockets, however late.
+        EventLoop loop = channel.eventLoop();
+        loop.execute(() -> loop.schedule(goOn, 1, TimeUnit.NANOSECONDS));
     }
 
     /** There is room for more of the body. */
@@ -262,7 +265,7 @@
      */
     void readWhileRoom() {
         boolean room = stage == Stage.LINGERING ? lingered <= LINGER_BYTES
-                : decoder.hasRoom() && !(incoming && body.full());
+                : decoder.hasRoom() && (!incoming || looking || !body.full());
         channel.config().setAutoRead(room);
     }
 
--- a/sidecar/src/test/java/topazvalve/sidecar/CrossingsTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/CrossingsTest.java
@@ -58,13 +58,7 @@
     void nothingIsSentOnForAClientThatLeftWithMuchBehindAHeldRequest(String how) throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         try (Stub upstream = new Stub(until(go)); Bed bed = Bed.with(upstream)) {
-            List<Bed.Client> busy = new ArrayList<>();
-            for (int i = 0; i < 2; i++) {
-                Bed.Client client = new Bed.Client(bed.address);
-                Stub.write(client.socket, Bed.look("busy" + i));
-                busy.add(client);
-                Stub.next(upstream.heads);
-            }
+            List<Bed.Client> busy = fill(bed, upstream);
             Bed.Client gone = new Bed.Client(bed.address);
             StringBuilder much = new StringBuilder(Bed.look("gone"));
             for (int i = 0; much.length() < MUCH; i++) {
@@ -88,6 +82,46 @@
         }
     }
 
+    /**
+     * A body has no room while its request is held, and lies in the socket; its client closes behind its last
+     * byte. The request is taken up afterwards, and must not be whole at its server before the end is heard.
+     */
+    @Test
+    void nothingIsSentOnWhoseBodyLayUnreadWhenItsClientLeft() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Stub upstream = new Stub(until(go))) {
+            ObjectNode json = Bed.json(upstream);
+            json.withObject("/limits").put("memory_mb", 0);
+            try (Bed bed = new Bed(json)) {
+                List<Bed.Client> busy = fill(bed, upstream);
+                Bed.Client gone = new Bed.Client(bed.address);
+                Stub.write(gone.socket, Bed.post("book", "", "x".repeat(MUCH)).replace("9b1f", "gone"));
+                gone.close();
+                go.countDown();
+                for (Bed.Client client : busy) {
+                    assertEquals(200, client.read().status());
+                    client.close();
+                }
+                for (int i = 0; i < busy.size(); i++) {
+                    assertEquals("", Stub.next(upstream.bodies));
+                }
+                assertTrue(Stub.next(upstream.bodies).length() < MUCH, "no whole request ever came there");
+            }
+        }
+    }
+
+    /** Clients whose requests take all that one server may have at first. */
+    private static List<Bed.Client> fill(Bed bed, Stub upstream) throws Exception {
+        List<Bed.Client> busy = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            Bed.Client client = new Bed.Client(bed.address);
+            Stub.write(client.socket, Bed.look("busy" + i));
+            busy.add(client);
+            Stub.next(upstream.heads);
+        }
+        return busy;
+    }
+
     /** A row of requests on one connection is answered in turn, however much of it lay behind the first. */
     @Test
     void rowOfRequestsIsAnsweredInTurn() throws Exception {
--- a/sidecar/src/test/java/topazvalve/sidecar/UpstreamsTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/UpstreamsTest.java
@@ -93,7 +93,9 @@
             send(upstreams);
             loop.submit(() -> { }).sync();
             Socket first = Stub.next(sockets);
-            Stub.reply(first, "200 OK", "", "again");
+            // In one write: the stub's own thread closes the socket as soon as the other side has.
+            first.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nagain"
+                    .getBytes(StandardCharsets.ISO_8859_1));
             assertEquals("end", Stub.next(upstream.ended), "it is closed");
             assertEquals(Outcome.OK, Stub.next(outcomes));
             assertTrue(first != Stub.next(sockets), "not on the one that had not rested");
