--- /dev/null
+++ b/lists/src/test/java/topazvalve/lists/SpreadModelTest.java
@@ -0,0 +1,246 @@
+package topazvalve.lists;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import topazvalve.lists.ListState.Entry;
+import topazvalve.lists.ListState.Lack;
+import topazvalve.lists.ListState.Taken;
+import topazvalve.lists.ListState.Update;
+
+/**
+ * Every order of events, to a depth, of one source with epochs, two relays and a follower that changes over
+ * between them: it never goes back, and once all is heard it has what the source has.
+ * {@code -Dspread.depth=N} goes deeper.
+ */
+class SpreadModelTest {
+    private static final int DEPTH = Integer.getInteger("spread.depth", 6);
+    private static final String NAME = "eu";
+
+    private enum Event {
+        CHANGE_A, TOGGLE_B, SOURCE_RESTARTS, RELAY_0_HEARS, RELAY_1_HEARS, RELAY_0_RECONNECTS,
+        RELAY_1_RECONNECTS, RELAY_1_RESTARTS, FOLLOWER_MOVES, FOLLOWER_HEARS
+    }
+
+    /** What a line says, and how far it brings who hears it. */
+    private record Line(boolean whole, Versions versions, List<Entry> entries) { }
+
+    private static final class Relay {
+        ListState state = new ListState(List.of(NAME), 2);
+        final Deque<Update> inbox = new ArrayDeque<>();
+        boolean connected;
+    }
+
+    private static final class Play {
+        final Map<String, Entry> truth = new TreeMap<>();
+        final Map<Version, Integer> order = new HashMap<>();
+        final List<Update> log = new ArrayList<>();
+        final Relay[] relays = {new Relay(), new Relay()};
+        final Map<String, Entry> held = new TreeMap<>();
+        final Deque<Line> inbox = new ArrayDeque<>();
+        Version version = new Version(1, 10);
+        Versions has = Versions.NONE;
+        int at;
+        boolean parked;
+        int lines;
+        int wholes;
+
+        Play() {
+            truth.put("a", new Entry("a", false, "a0"));
+            truth.put("b", new Entry("b", false, "b0"));
+            order.put(version, 0);
+            connect(relays[0]);
+            connect(relays[1]);
+            drain();
+        }
+
+        private void drain() {
+            while (hears(relays[0]) || hears(relays[1])) {
+                continue;
+            }
+            ask();
+            while (followerHears()) {
+                continue;
+            }
+        }
+
+        private void publish(Entry entry) {
+            version = new Version(version.epoch(), version.rev() + 1);
+            order.put(version, order.size());
+            truth.put(entry.uid(), entry);
+            Update update = new Update(version, false, List.of(entry));
+            log.add(update);
+            for (Relay relay : relays) {
+                if (relay.connected) {
+                    relay.inbox.add(update);
+                }
+            }
+        }
+
+        /** The source answers a watch: changes after a version of this life that it still knows, or all. */
+        private void connect(Relay relay) {
+            relay.connected = true;
+            relay.inbox.clear();
+            Version from = relay.state.versions().at(NAME);
+            Map<String, Entry> entries = new TreeMap<>();
+            if (from != null && from.epoch() == version.epoch()) {
+                for (Update each : log) {
+                    if (each.version().compareTo(from) > 0) {
+                        each.entries().forEach(entry -> entries.put(entry.uid(), entry));
+                    }
+                }
+                relay.inbox.add(new Update(version, false, List.copyOf(entries.values())));
+            } else {
+                truth.values().stream().filter(entry -> !entry.gone())
+                        .forEach(entry -> entries.put(entry.uid(), entry));
+                relay.inbox.add(new Update(version, true, List.copyOf(entries.values())));
+            }
+        }
+
+        private boolean hears(Relay relay) {
+            Update update = relay.inbox.poll();
+            if (update == null) {
+                return false;
+            }
+            Versions before = relay.state.versions();
+            Taken taken = relay.state.take(NAME, update);
+            assertTrue(taken == Taken.SAME || taken == Taken.CHANGED || taken == Taken.FIRST,
+                    () -> "not taken: " + taken);
+            if (relays[at] == relay) {
+                if (parked || taken == Taken.FIRST) {
+                    ask();
+                } else if (!before.equals(relay.state.versions())) {
+                    inbox.add(new Line(false, relay.state.versions(), relay.state.changed()));
+                }
+            }
+            return true;
+        }
+
+        private void ask() {
+            inbox.clear();
+            ListState state = relays[at].state;
+            Lack lack = state.lack(has);
+            parked = lack != Lack.CHANGES && lack != Lack.WHOLE;
+            if (!parked) {
+                boolean whole = lack == Lack.WHOLE;
+                wholes += whole ? 1 : 0;
+                inbox.add(new Line(whole, state.versions(), whole ? state.whole() : state.changes(has)));
+            }
+        }
+
+        private boolean followerHears() {
+            Line line = inbox.poll();
+            if (line == null) {
+                return false;
+            }
+            lines++;
+            if (line.whole()) {
+                held.clear();
+            }
+            line.entries().forEach(entry -> held.put(entry.uid(), entry));
+            Version before = has.at(NAME);
+            has = has.after(line.versions());
+            assertTrue(before == null || order.get(before) <= order.get(has.at(NAME)),
+                    () -> "went back from " + before + " to " + has);
+            return true;
+        }
+
+        /** False if nothing can happen by this event now. */
+        boolean play(Event event) {
+            switch (event) {
+                case CHANGE_A -> publish(new Entry("a", false, "a" + order.size()));
+                case TOGGLE_B -> publish(new Entry("b", !truth.get("b").gone(), "b" + order.size()));
+                case SOURCE_RESTARTS -> {
+                    version = new Version(version.epoch() + 1, 3);
+                    order.put(version, order.size());
+                    log.clear();
+                    for (Relay relay : relays) {
+                        relay.connected = false;
+                        relay.inbox.clear();
+                    }
+                }
+                case RELAY_0_HEARS -> {
+                    return hears(relays[0]);
+                }
+                case RELAY_1_HEARS -> {
+                    return hears(relays[1]);
+                }
+                case RELAY_0_RECONNECTS -> connect(relays[0]);
+                case RELAY_1_RECONNECTS -> connect(relays[1]);
+                case RELAY_1_RESTARTS -> {
+                    relays[1].state = new ListState(List.of(NAME), 2);
+                    connect(relays[1]);
+                    if (at == 1) {
+                        ask();
+                    }
+                }
+                case FOLLOWER_MOVES -> {
+                    at = 1 - at;
+                    ask();
+                }
+                default -> {
+                    return followerHears();
+                }
+            }
+            return true;
+        }
+
+        /** All that is out arrives, and who is parked is served. */
+        void settle() {
+            for (Relay relay : relays) {
+                connect(relay);
+            }
+            drain();
+            Map<String, Entry> live = new TreeMap<>(truth);
+            live.values().removeIf(Entry::gone);
+            held.values().removeIf(Entry::gone);
+            assertEquals(live, held);
+            assertEquals(Versions.of(NAME, version), has);
+        }
+    }
+
+    private long played;
+    private long wholes;
+
+    private void goOn(List<Event> events) {
+        for (Event next : Event.values()) {
+            List<Event> longer = new ArrayList<>(events);
+            longer.add(next);
+            Play play = new Play();
+            boolean possible = true;
+            try {
+                for (Event each : longer) {
+                    possible = play.play(each);
+                }
+                if (possible) {
+                    play.settle();
+                }
+            } catch (AssertionError e) {
+                throw new AssertionError(longer + ": " + e.getMessage(), e);
+            }
+            if (possible) {
+                played++;
+                wholes += play.wholes;
+                if (longer.size() < DEPTH) {
+                    goOn(longer);
+                }
+            }
+        }
+    }
+
+    @Test
+    void aFollowerNeverGoesBackAndEndsWhereItsSourceIs() {
+        goOn(List.of());
+        assertTrue(played > 10_000, "orders played: " + played);
+        assertTrue(wholes > played, "some were brought to the newest state by a whole list");
+        System.out.println(played + " orders of up to " + DEPTH + " events, " + wholes + " whole lists");
+    }
+}
