A sidecar may ask relays in discovery's place, the next one at once

Need: with a tier of relays between the source and the sidecars, a sidecar needs nothing but addresses to choose from.

Change: [relays] in the operator's file, read strictly; off here. A call for a list is a class of its own (ListCall), which relays will use too; Discovery keeps how far the list has come at each source, says so to whom it asks, and takes nothing older. Whom it asks and when is Following's decision; the decision module hears of no failure while another relay serves.

--- a/command/src/main/java/topazvalve/command/Check.java
+++ b/command/src/main/java/topazvalve/command/Check.java
@@ -9,8 +9,8 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import topazvalve.sidecar.OperatorFile;
 import topazvalve.sidecar.config.Config;
-import topazvalve.tcp.TcpFile;
 import topazvalve.tcp.TcpSettings;
 import topazvalve.toml.BadFile;
 
@@ -20,7 +20,8 @@
     + "(.toml), and starts nothing."})
 final class Check implements Callable<Integer> {
     /** What only an operator's file has. */
-    private static final Pattern LISTENER = Pattern.compile("(?m)^\\s*\\[\\[\\s*listener\\s*]]");
+    private static final Pattern OPERATOR =
+            Pattern.compile("(?m)^\\s*(\\[\\[\\s*listener\\s*]]|\\[\\s*relays\\s*])");
     @Spec
     private CommandSpec spec;
     @Parameters(paramLabel = "FILE", description = "the file to check")
@@ -29,10 +30,12 @@
     @Override
     public Integer call() throws IOException {
         Input.requireFile(file);
-        if (file.toString().endsWith(".toml") && LISTENER.matcher(Files.readString(file)).find()) {
+        if (file.toString().endsWith(".toml") && OPERATOR.matcher(Files.readString(file)).find()) {
             try {
+                OperatorFile read = OperatorFile.read(file);
                 spec.commandLine().getOut().println(file + ": good; listeners "
-                        + TcpFile.read(file).stream().map(TcpSettings::name).toList());
+                        + read.listeners().stream().map(TcpSettings::name).toList()
+                        + (read.relays().isEmpty() ? "" : ", relays " + read.relays().size()));
                 return ExitCode.DONE;
             } catch (BadFile e) {
                 throw new BadInput(e.getMessage(), e);
--- a/sidecar/src/main/java/topazvalve/sidecar/HttpSide.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/HttpSide.java
@@ -1,6 +1,8 @@
 package topazvalve.sidecar;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.List;
 import topazvalve.core.classes.ClassTable;
 import topazvalve.core.exchange.Exchanges;
 import topazvalve.core.lifecycle.Lifecycle;
@@ -13,6 +15,7 @@
 import topazvalve.sidecar.config.Config;
 import topazvalve.sidecar.discovery.Discovery;
 import topazvalve.sidecar.discovery.Pushed;
+import topazvalve.sidecar.discovery.Relays;
 import topazvalve.sidecar.front.Frontend;
 import topazvalve.sidecar.http.Answer;
 import topazvalve.sidecar.http.Message;
@@ -25,7 +28,7 @@
     private final Frontend front;
 
     HttpSide(EventLoop loop, Config config, int mostOpen, int mostClients, Metrics metrics,
-            Lifecycle lifecycle, ByteBudget budget) {
+            Lifecycle lifecycle, ByteBudget budget, List<InetSocketAddress> relays) {
         ClassTable classes = new ClassTable();
         Time time = new LoopTime(loop);
         exchanges = new Exchanges<>(time, config.options(),
@@ -34,7 +37,7 @@
                         config.mostUpstream()), mostOpen,
                 metrics, classes);
         discovery = new Discovery(loop, config.discovery(), config.known(),
-                Pushed.of(config.options()), exchanges);
+                Pushed.of(config.options()), Relays.of(config.name(), relays, config.seed()), exchanges);
         front = new Frontend(loop, exchanges, classes, config.options().names("parties"), mostClients,
                 lifecycle, budget);
     }
@@ -50,6 +53,11 @@
         discovery.move(config.discovery());
     }
 
+    /** Adds the figures of the list, where relays tell it. */
+    void print(StringBuilder to) {
+        discovery.print(to);
+    }
+
     Exchanges<Message, Answer> exchanges() {
         return exchanges;
     }
--- a/sidecar/src/main/java/topazvalve/sidecar/Main.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/Main.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -14,7 +13,6 @@
 import topazvalve.logging.Logging;
 import topazvalve.sidecar.config.Config;
 import topazvalve.sidecar.listen.ClientListener;
-import topazvalve.tcp.TcpSettings;
 
 /** Entry point of the real sidecar: configuration, start, and an orderly end at SIGTERM. */
 public final class Main {
@@ -33,13 +31,13 @@
         reloadAtSighup(file, running);
         Config config;
         ClientListener clients;
-        List<TcpSettings> listeners;
+        OperatorFile operator;
         try {
             if (file == null) {
                 throw new IllegalArgumentException("not set: PROXY_CONFIG");
             }
             config = Config.read(Path.of(file));
-            listeners = Streams.read(operatorFile());
+            operator = OperatorFile.read(operatorFile());
             clients = ClientListener.given(config.listen(), System.getenv("PROXY_FD"));
         } catch (IllegalArgumentException | IOException e) {
             e.getMessage().lines().forEach(line -> LOG.error("configuration: {}", line));
@@ -50,7 +48,7 @@
         EventLoop loop = group.next();
         boolean rehearsal = args.length == 1 && args[0].equals("rehearse");
         loop.execute(() -> {
-            Sidecar sidecar = new Sidecar(group, loop, config, clients, listeners,
+            Sidecar sidecar = new Sidecar(group, loop, config, clients, operator,
                     rehearsal ? Main::end : () -> { });
             sidecar.start();
             endAtSigterm(loop, sidecar);
--- a/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
@@ -48,18 +48,20 @@
     /** What all fronts may hold of bodies and streams. */
     private final ByteBudget budget;
     private volatile List<TcpSettings> listeners;
+    private final List<InetSocketAddress> relays;
 
     Sidecar(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config, ClientListener clients,
-            List<TcpSettings> listeners, Runnable whenReady) {
+            OperatorFile operator, Runnable whenReady) {
         this.group = group;
         this.loop = loop;
         this.config = config;
         this.clients = clients;
         this.whenReady = whenReady;
-        this.listeners = listeners;
+        this.listeners = operator.listeners();
+        this.relays = operator.relays();
         this.budget = new ByteBudget(config.bodyBytes());
         this.http = new HttpSide(loop, config, config.sockets() / 2, config.mostClients(), metrics,
-                lifecycle, budget);
+                lifecycle, budget, relays);
     }
 
     void start() {
@@ -105,6 +107,7 @@
     private String figures() {
         StringBuilder text = new StringBuilder(metrics.text(http.exchanges()));
         streams.print(text);
+        http.print(text);
         return text.toString();
     }
 
@@ -119,14 +122,14 @@
     void reload(Path file, Path operator) {
         try {
             Config read = Config.read(file);
-            List<TcpSettings> next = Streams.read(operator);
+            OperatorFile next = OperatorFile.read(operator);
             loop.execute(() -> take(read, next));
         } catch (IllegalArgumentException | IOException e) {
             loop.execute(() -> turnDown(e));
         }
     }
 
-    private void take(Config read, List<TcpSettings> next) {
+    private void take(Config read, OperatorFile next) {
         try {
             read.requireFit(config);
         } catch (IllegalArgumentException e) {
@@ -135,8 +138,11 @@
         }
         http.reconfigure(read);
         config = read;
-        streams.retune(next);
-        listeners = next;
+        streams.retune(next.listeners());
+        listeners = next.listeners();
+        if (!next.relays().equals(relays)) {
+            LOG.warn("relays stay as they are until a restart");
+        }
         metrics.configApplied();
         LOG.info("new configuration taken: classes {}, attempts {}", read.options().names("profiles"),
                 read.options().settings().allowed().tryLimit());
--- a/sidecar/src/main/java/topazvalve/sidecar/Streams.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/Streams.java
@@ -3,8 +3,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import java.io.IOException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -14,7 +12,6 @@
 import topazvalve.core.lifecycle.Lifecycle;
 import topazvalve.core.stream.ByteBudget;
 import topazvalve.sidecar.listen.ClientListener;
-import topazvalve.tcp.TcpFile;
 import topazvalve.tcp.TcpSettings;
 import topazvalve.tcp.TcpSide;
 
@@ -29,11 +26,6 @@
 
     private final List<Open> open = new ArrayList<>();
 
-    /** What the operator's file says; no file, no listeners. */
-    static List<TcpSettings> read(Path file) throws IOException {
-        return file == null ? List.of() : TcpFile.read(file);
-    }
-
     /** Listens; one listener that can't is told of, and the others serve. */
     void start(MultiThreadIoEventLoopGroup group, EventLoop loop, List<TcpSettings> listeners, long seed,
             ByteBudget budget, Lifecycle lifecycle) {
--- a/sidecar/src/main/java/topazvalve/sidecar/WarmUp.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/WarmUp.java
@@ -91,7 +91,7 @@
     /** A frontend that nobody can reach takes requests; the core, which knows no server, refuses them. */
     private static void answer(long began, EventLoop loop, Config config) {
         HttpSide side = new HttpSide(loop, config, ROUNDS, 1, new Metrics(), new Lifecycle(),
-                new ByteBudget(config.bodyBytes()));
+                new ByteBudget(config.bodyBytes()), List.of());
         List<String> tenants = config.options().names("parties");
         EmbeddedChannel client = new EmbeddedChannel(side.front().connections());
         List<RequestClass> rules = config.options().settings().classes();
--- a/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
@@ -1,24 +1,6 @@
 package topazvalve.sidecar.discovery;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -29,38 +11,43 @@
 import org.slf4j.LoggerFactory;
 import topazvalve.core.servers.ServerList;
 import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.lists.Following;
+import topazvalve.lists.Versions;
 import topazvalve.sidecar.json.Json;
 import topazvalve.sidecar.json.Node;
 
 /**
  * Asks discovery for the list: a watch on its changes, or the whole once. The module decides when. An answer
  * that is wrong, cut, without end or empty is not taken: the list in force stays, and one log line says why.
+ *
+ * <p>Where there are relays to choose from they are asked in discovery's place, and {@link Following} says
+ * whom and when: the next one serves at once, so that there is nothing for the module to wait for.
  */
 public final class Discovery implements ServerList {
     private static final Logger LOG = LoggerFactory.getLogger("discovery");
-    /** A call may wait in discovery's queue, for 2 s where that is known, before it is answered or fails. */
-    private static final long ANSWER_MS = 5_000;
-    /**
-     * An answered watch brings an empty line every 2 s. One that has fallen silent counts as told 6 s later:
-     * by then it must be noticed, opened anew (a connect of up to 1 s, and a call that waits) and answered.
-     */
-    private static final long SILENCE_MS = 3_000;
-    private static final int CONNECT_TIMEOUT_MS = 1_000;
 
     private final EventLoop loop;
     private final ServerList.Listener listener;
     private final Set<Call> calls = new HashSet<>();
     private InetSocketAddress address;
     private long rev;
+    /** How far the list in force has come at each source; empty where nobody says. */
+    private Versions versions;
     private boolean moved;
     private boolean wanted;
     /** How soon a watch that has ended is opened again; null where the module says so. */
     private final Pushed pushed;
+    /** Who is asked in discovery's place; null where discovery itself is. */
+    private final Relays relays;
     /** Whether any server is, or was, in the list in force. */
     private boolean listed;
     private Call watch;
+    /** A watch at the first relay, opened beside the one in force. */
+    private Call returning;
     /** Why the last call failed; null if it did not. */
     private String fault;
+    private long heardAt = System.nanoTime();
+    private long askedAnew;
 
     /**
      * Tells {@code listener} of each answer and each failure, on the loop; {@code known} is in force now.
@@ -68,10 +55,18 @@
      */
     public Discovery(EventLoop loop, InetSocketAddress address, Listing known, Pushed pushed,
             ServerList.Listener listener) {
+        this(loop, address, known, pushed, null, listener);
+    }
+
+    /** As above; {@code relays}, if there are any, are asked in place of {@code address}. */
+    public Discovery(EventLoop loop, InetSocketAddress address, Listing known, Pushed pushed, Relays relays,
+            ServerList.Listener listener) {
         this.loop = loop;
         this.pushed = pushed;
+        this.relays = relays;
         this.address = address;
         this.rev = known.rev();
+        this.versions = known.versions();
         this.listed = !known.targets().isEmpty();
         this.listener = listener;
     }
@@ -88,31 +83,46 @@
 
     private void followOn() {
         if (wanted && watch == null) {
-            watch(true);
+            open();
         }
     }
 
+    private void open() {
+        watch = new Call(true, relays == null ? address : relays.now());
+        watch.open();
+    }
+
     /** Follows changes from the last one known; a watch that is asked for again replaces the old one. */
     @Override
     public void watch(boolean on) {
         wanted = on;
+        closeWatches();
+        if (on) {
+            if (relays != null) {
+                relays.following().begin();
+            }
+            open();
+        }
+    }
+
+    private void closeWatches() {
         if (watch != null) {
             watch.close();
             watch = null;
         }
-        if (on) {
-            watch = new Call(true);
-            watch.open();
+        if (returning != null) {
+            returning.close();
+            returning = null;
         }
     }
 
     /**
      * From now on another service is asked. What the old one may still say changes nothing; calls that were
      * out begin again at the new one. Its versions need not follow on from the old one's, so its whole list
-     * is asked for.
+     * is asked for. Relays stay those that they are.
      */
     public void move(InetSocketAddress to) {
-        if (to.equals(address)) {
+        if (to.equals(address) || relays != null) {
             return;
         }
         address = to;
@@ -131,179 +141,187 @@
 
     @Override
     public void fetch() {
-        new Call(false).open();
+        new Call(false, relays == null ? address : relays.now()).open();
     }
 
     @Override
     public void close() {
         wanted = false;
         watch = null;
+        returning = null;
         List.copyOf(calls).forEach(Call::close);
     }
 
-    private final class Call extends SimpleChannelInboundHandler<HttpObject> implements Lines.Taker {
+    /** How far the list in force has come at each source; empty where nobody says. */
+    public Versions versions() {
+        return versions;
+    }
+
+    /** The version of the list in force, as who is asked counts. */
+    public long rev() {
+        return rev;
+    }
+
+    /** Adds figures where relays are asked: whom, how long ago it was heard, and how often another was. */
+    public void print(StringBuilder to) {
+        if (relays != null) {
+            to.append("list_relay=").append(Relays.text(relays.now()))
+                    .append("\nlist_followed=").append(relays.following().following() ? 1 : 0)
+                    .append("\nlist_heard_ms=")
+                    .append(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardAt))
+                    .append("\nlist_asked_anew=").append(askedAnew).append('\n');
+        }
+    }
+
+    /** The watch has ended: with relays the next is asked, at once or once a round's pause is over. */
+    private void askNext(long retryAfterMs) {
+        boolean followed = relays.following().following();
+        Following.Ask next = relays.following().refused(TimeUnit.MILLISECONDS.toNanos(retryAfterMs));
+        askedAnew++;
+        if (next.after() > 0 && !followed) {
+            LOG.warn("no relay answers, the list in force stays; asked again in {} ms", next.after() / 1_000_000);
+        }
+        loop.schedule(() -> {
+            if (wanted && watch == null) {
+                relays.following().asks();
+                open();
+            }
+        }, next.after(), TimeUnit.NANOSECONDS);
+    }
+
+    private void returnLater() {
+        loop.schedule(() -> {
+            if (wanted && returning == null && relays.following().mayReturn() instanceof Following.Ask first) {
+                returning = new Call(true, relays.order().get(first.place()));
+                returning.open();
+            }
+        }, relays.following().returnAfter(), TimeUnit.NANOSECONDS);
+    }
+
+    private final class Call implements ListCall.Owner {
         private final boolean watching;
-        private final Lines lines = new Lines();
-        private Channel channel;
-        private Future<?> silence;
-        private boolean answered;
-        private boolean over;
+        private final ListCall call;
         /** Changes up to this version came with a whole list that was asked for meanwhile. */
         private long outdated = -1;
 
-        Call(boolean watching) {
+        Call(boolean watching, InetSocketAddress to) {
             this.watching = watching;
+            this.call = new ListCall(loop, to, watching, this);
         }
 
         void open() {
             calls.add(this);
-            heard();
-            new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                            pushed == null ? CONNECT_TIMEOUT_MS : pushed.connectMs())
-                    .handler(new ChannelInitializer<Channel>() {
-                        @Override
-                        protected void initChannel(Channel made) {
-                            channel = made;
-                            made.pipeline().addLast(new HttpClientCodec(), Call.this);
-                        }
-                    })
-                    .connect(address)
-                    .addListener(done -> {
-                        if (done.isSuccess()) {
-                            ask();
-                        } else {
-                            fail("not reached: " + done.cause().getMessage());
-                        }
-                    });
+            call.open(pushed == null ? ListCall.CONNECT_TIMEOUT_MS : pushed.connectMs(), !watching ? ""
+                    : "?watch=1&from=" + rev + (versions.isEmpty() ? "" : "&versions=" + versions));
         }
 
-        private void ask() {
-            String path = "/discovery/hosts" + (watching ? "?watch=1&from=" + rev : "");
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    path);
-            request.headers().set(HttpHeaderNames.HOST,
-                    address.getAddress().getHostAddress() + ":" + address.getPort());
-            channel.writeAndFlush(request);
+        void close() {
+            calls.remove(this);
+            call.close();
         }
 
-        private void heard() {
-            if (silence != null) {
-                silence.cancel(false);
+        private void answered() {
+            fault = null;
+            heardAt = System.nanoTime();
+            boolean first = !call.isAnswered();
+            call.answered();
+            if (relays == null || !watching || !first) {
+                return;
+            }
+            if (returning == this) {
+                returning = null;
+                if (watch != null) {
+                    watch.close();
+                }
+                watch = this;
+                relays.following().returned();
+            } else {
+                relays.following().answered();
+                returnLater();
             }
-            boolean following = watching && answered;
-            fault = answered ? null : fault;
-            silence = following ? loop.schedule(this::followAnew, SILENCE_MS, TimeUnit.MILLISECONDS)
-                    : loop.schedule(() -> fail("no whole answer for " + ANSWER_MS + " ms"), ANSWER_MS,
-                            TimeUnit.MILLISECONDS);
         }
 
         /**
          * The watch has fallen silent. That says nothing of discovery's load, so the next one is opened at
          * once; sidecars whose watches fall silent together notice it spread over the time between lines.
          */
-        private void followAnew() {
-            if (!over && watch == this) {
-                LOG.warn("watch opened anew: no whole line for {} ms", SILENCE_MS);
+        @Override
+        public void silent() {
+            if (relays != null) {
+                call.fail("no whole line for " + ListCall.SILENCE_MS + " ms");
+            } else if (watch == this) {
+                LOG.warn("watch opened anew: no whole line for {} ms", ListCall.SILENCE_MS);
                 watch(true);
             }
         }
 
-        void close() {
-            over = true;
-            calls.remove(this);
-            silence.cancel(false);
-            if (channel != null) {
-                channel.close();
-            }
-        }
-
-        private void fail(String why) {
-            if (!over) {
-                if (!why.equals(fault)) {
-                    LOG.warn("list not taken, the one in force stays: {}", why);
-                }
-                fault = why;
-                close();
-                boolean followed = watch == this;
-                watch = followed ? null : watch;
-                if (pushed == null) {
-                    listener.listed(ListKind.FAILED, List.of());
-                } else if (followed) {
-                    // The module, which did not ask, is not to wait and ask again.
-                    loop.schedule(Discovery.this::followOn, pushed.pauseMs(), TimeUnit.MILLISECONDS);
-                }
-            }
-        }
-
         @Override
-        protected void channelRead0(ChannelHandlerContext context, HttpObject message) throws IOException {
-            if (over) {
-                return;
-            }
-            if (message.decoderResult().isFailure()) {
-                fail("not HTTP");
+        public void failed(String why, long retryAfterMs) {
+            calls.remove(this);
+            if (returning == this) {
+                returning = null;
+                returnLater();
                 return;
             }
-            if (message instanceof HttpResponse response
-                    && !response.status().equals(HttpResponseStatus.OK)) {
-                fail("status " + response.status().code());
-                return;
+            if (!why.equals(fault)) {
+                LOG.warn("list not taken, the one in force stays: {}", why);
             }
-            if (message instanceof HttpContent content) {
-                lines.take(content.content(), this);
-                if (!over && message instanceof LastHttpContent) {
-                    if (watching || !answered || lines.open()) {
-                        fail("the answer ended");
-                    } else {
-                        close();
-                    }
-                }
+            fault = why;
+            boolean followed = watch == this;
+            watch = followed ? null : watch;
+            if (followed && relays != null) {
+                askNext(retryAfterMs);
+            } else if (pushed == null) {
+                listener.listed(ListKind.FAILED, List.of());
+            } else if (followed) {
+                // The module, which did not ask, is not to wait and ask again.
+                loop.schedule(Discovery.this::followOn, pushed.pauseMs(), TimeUnit.MILLISECONDS);
             }
         }
 
         @Override
-        public boolean empty() {
-            if (watching && !answered) {
+        public void empty() {
+            boolean first = watching && !call.isAnswered();
+            if (first || call.isAnswered()) {
+                answered();
+            }
+            if (first) {
                 // Nothing has changed since the version known: that, too, is the watch's answer.
-                answered = true;
                 listener.listed(ListKind.DELTA, List.of());
             }
-            if (!over) {
-                heard();
-            }
-            return !over;
         }
 
         @Override
-        public boolean object(byte[] text) throws IOException {
-            take(Json.read(text));
-            if (!over) {
-                heard();
-            }
-            return !over;
-        }
-
-        private void take(Node node) {
+        public void object(byte[] text) throws IOException {
+            Node node = Json.read(text);
             if (!node.path("rev").isWhole() || !node.path("targets").isArray()) {
-                fail("a line that is no list");
+                call.fail("a line that is no list");
                 return;
             }
             Listing listing = Listing.of(node);
             if (listing.all() && listing.targets().isEmpty() && listed) {
-                fail("the whole list is empty");
+                call.fail("the whole list is empty");
+                return;
+            }
+            if (!watching && !moved && relays == null && listing.rev() < rev) {
+                call.fail("version " + listing.rev() + " is older than " + rev);
                 return;
             }
-            if (!watching && !moved && listing.rev() < rev) {
-                fail("version " + listing.rev() + " is older than " + rev);
+            if ((!watching || !call.isAnswered()) && listing.versions().behind(versions)) {
+                call.fail("version " + listing.versions() + " is older than " + versions);
                 return;
             }
-            answered = true;
+            take(listing);
+        }
+
+        private void take(Listing listing) {
+            answered();
             if (watching && !listing.all() && listing.rev() <= outdated) {
                 return;
             }
             listed |= !listing.targets().isEmpty();
             rev = listing.rev();
+            versions = versions.after(listing.versions());
             if (!watching && watch != null) {
                 watch.outdated = rev;
             }
@@ -316,15 +334,5 @@
             }
             listener.listed(listing.all() ? ListKind.FULL : ListKind.DELTA, listing.targets());
         }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            fail("the connection ended");
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            fail(cause.toString().lines().findFirst().orElse(""));
-        }
     }
 }
--- a/sidecar/src/main/java/topazvalve/sidecar/discovery/Listing.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/Listing.java
@@ -8,13 +8,24 @@
 import topazvalve.core.net.Addresses;
 import topazvalve.core.servers.Target;
 import topazvalve.decisions.Balancer.State;
+import topazvalve.lists.Versions;
 import topazvalve.sidecar.json.Node;
 
-/** A list or a change of it, as discovery writes it. */
-public record Listing(long rev, boolean all, List<Target> targets) {
+/**
+ * A list or a change of it, as discovery writes it.
+ *
+ * @param versions how far it has come at each source; empty where only {@code rev} is told
+ */
+public record Listing(long rev, boolean all, List<Target> targets, Versions versions) {
     public static final Listing NONE = new Listing(0, true, List.of());
     private static final Logger LOG = LoggerFactory.getLogger("discovery");
 
+    /** One of which only its {@code rev} is told. */
+    public Listing(long rev, boolean all, List<Target> targets) {
+        this(rev, all, targets, Versions.NONE);
+    }
+
+    /** As it is written; an {@link IllegalArgumentException} for versions that can't be read. */
     public static Listing of(Node node) {
         List<Target> targets = new ArrayList<>();
         for (Node each : node.path("targets")) {
@@ -23,7 +34,8 @@
                 targets.add(target);
             }
         }
-        return new Listing(node.path("rev").asLong(), node.path("all").asBoolean(), targets);
+        return new Listing(node.path("rev").asLong(), node.path("all").asBoolean(), targets,
+                Versions.parse(node.path("versions").asText("")));
     }
 
     /** An entry, or null where it can't be understood. */
--- a/sidecar/src/test/java/topazvalve/sidecar/Bed.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/Bed.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
@@ -48,7 +49,7 @@
     Bed(ObjectNode json) throws Exception {
         Config config = config(json);
         side = new HttpSide(loop, config, MOST, MOST, metrics, lifecycle,
-                new ByteBudget(config.bodyBytes()));
+                new ByteBudget(config.bodyBytes()), List.of());
         frontend = side.front();
         engine = side.exchanges();
         loop.submit(() -> side.start(config)).sync();
--- a/tcp/src/main/java/topazvalve/tcp/TcpFile.java
+++ b/tcp/src/main/java/topazvalve/tcp/TcpFile.java
@@ -28,22 +28,25 @@
 
     /** Reads a text; {@code name} stands for it in messages. */
     public static List<TcpSettings> parse(String name, String text) {
-        return TomlFile.parse(name, text, root -> {
-            List<TcpSettings> listeners = new ArrayList<>();
-            Set<String> names = new HashSet<>();
-            Set<InetSocketAddress> places = new HashSet<>();
-            for (Table table : root.tables("listener", 0)) {
-                TcpSettings each = listener(table);
-                if (!names.add(each.name())) {
-                    table.wrong("name", "\"" + each.name() + "\" is given twice");
-                }
-                if (each.listen().getPort() != 0 && !places.add(each.listen())) {
-                    table.wrong("listen", "two listeners at one address");
-                }
-                listeners.add(each);
+        return TomlFile.parse(name, text, TcpFile::listeners);
+    }
+
+    /** The listeners of a file that has other tables too. */
+    public static List<TcpSettings> listeners(Table root) {
+        List<TcpSettings> listeners = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        Set<InetSocketAddress> places = new HashSet<>();
+        for (Table table : root.tables("listener", 0)) {
+            TcpSettings each = listener(table);
+            if (!names.add(each.name())) {
+                table.wrong("name", "\"" + each.name() + "\" is given twice");
             }
-            return listeners;
-        });
+            if (each.listen().getPort() != 0 && !places.add(each.listen())) {
+                table.wrong("listen", "two listeners at one address");
+            }
+            listeners.add(each);
+        }
+        return listeners;
     }
 
     private static TcpSettings listener(Table table) {
