--- a/command/src/main/java/topazvalve/command/Main.java
+++ b/command/src/main/java/topazvalve/command/Main.java
@@ -10,7 +10,7 @@
         synopsisSubcommandLabel = "VERB", scope = CommandLine.ScopeType.INHERIT,
         description = "A load-balancing sidecar, and a world to try it in.",
         subcommands = {Demo.class, Serve.class, Check.class, World.class, Experiments.class, Measure.class,
-            SimHost.class, Version.class},
+            SimHost.class, RelayVerb.class, Version.class},
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done, and nothing was found wrong",
             "1:a rule was broken, or the run could not be finished",
--- /dev/null
+++ b/command/src/main/java/topazvalve/command/RelayVerb.java
@@ -0,0 +1,21 @@
+package topazvalve.command;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** Runs one relay in this JVM until it is ended. */
+@Command(name = "relay", description = {"Runs one relay between sources of lists and sidecars.",
+    "docs/relay.md has its file's keys; SIGTERM ends it."})
+final class RelayVerb implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "the relay's file (.toml)")
+    private Path file;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        Input.requireFile(file);
+        topazvalve.relay.Main.main(new String[] {file.toString()});
+        return ExitCode.DONE;
+    }
+}
--- a/lists/src/main/java/topazvalve/lists/ListState.java
+++ b/lists/src/main/java/topazvalve/lists/ListState.java
@@ -270,6 +270,13 @@
         return sources.values().stream().allMatch(source -> source.version != null);
     }
 
+    /** Whether a follower with this version of a source that is known comes from before the source's log. */
+    public boolean beforeLog(String name, Version has) {
+        Source source = sources.get(name);
+        return source.version != null && has != null && has.comparable(source.floor)
+                && has.epoch() == source.floor.epoch() && has.compareTo(source.floor) < 0;
+    }
+
     /** What a follower that has come so far is to hear; {@link Versions#NONE} for one with nothing. */
     public Lack lack(Versions has) {
         if (has.isEmpty()) {
--- /dev/null
+++ b/relay/src/test/java/topazvalve/relay/SourceReaderTest.java
@@ -0,0 +1,46 @@
+package topazvalve.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import topazvalve.lists.ListState.Update;
+import topazvalve.lists.Version;
+
+/** What a source writes, in any layout. */
+class SourceReaderTest {
+    private static Update read(String text) throws IOException {
+        return SourceReader.read(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void anEntryKeepsAllThatItSaysOnOneLine() throws IOException {
+        Update update = read("{\n \"rev\": 4, \"epoch\": 2, \"note\": {\"x\": [1]}, \"all\": true,\n"
+                + "\"targets\": [\n  {\"uid\": \"a\",\n \"tags\": {\"uid\": \"inner\",\n"
+                + "\"n\": [1.50, null]},\n \"state\": \"DELETED\"}]}");
+        assertEquals(new Version(2, 4), update.version());
+        assertTrue(update.whole() && update.entries().get(0).gone());
+        assertEquals("a", update.entries().get(0).uid());
+        assertEquals("{\"uid\":\"a\",\"tags\":{\"uid\":\"inner\",\"n\":[1.50,null]},\"state\":\"DELETED\"}",
+                update.entries().get(0).json());
+    }
+
+    @Test
+    void anEntryWithoutANameIsPassedOverAndTheRestTaken() throws IOException {
+        assertEquals(1, read("{\"rev\":4,\"targets\":[{\"state\":\"SERVING\"},{\"uid\":7},"
+                + "{\"uid\":\"b\"},{\"uid\":\"" + "x".repeat(300) + "\"}]}").entries().size());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"[]", "{}", "{\"rev\":1}", "{\"targets\":[]}", "{\"rev\":-1,\"targets\":[]}",
+        "{\"rev\":\"1\",\"targets\":[]}", "{\"rev\":1.5,\"targets\":[]}", "{\"rev\":1,\"targets\":{}}",
+        "{\"rev\":1,\"targets\":[1]}", "{\"rev\":1,\"targets\":[{\"uid\":\"a\"}"})
+    void whatIsNoListIsRefused(String text) {
+        assertThrows(IOException.class, () -> read(text));
+    }
+}
--- a/sidecar/src/main/java/topazvalve/sidecar/OperatorFile.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/OperatorFile.java
@@ -14,7 +14,7 @@
 import topazvalve.toml.TomlFile;
 
 /**
- * What an installation has beyond the platform: {@code docs/tcp.md} and {@code docs/relay.md} describe each key.
+ * What an installation has beyond the platform; {@code docs/tcp.md} and {@code docs/relay.md} have each key.
  *
  * @param listeners for opaque streams
  * @param relays where the list is asked for in discovery's place; none, and discovery is
--- a/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
@@ -179,7 +179,8 @@
         Following.Ask next = relays.following().refused(TimeUnit.MILLISECONDS.toNanos(retryAfterMs));
         askedAnew++;
         if (next.after() > 0 && !followed) {
-            LOG.warn("no relay answers, the list in force stays; asked again in {} ms", next.after() / 1_000_000);
+            LOG.warn("no relay answers, the list in force stays; asked again in {} ms",
+                    TimeUnit.NANOSECONDS.toMillis(next.after()));
         }
         loop.schedule(() -> {
             if (wanted && watch == null) {
@@ -191,7 +192,8 @@
 
     private void returnLater() {
         loop.schedule(() -> {
-            if (wanted && returning == null && relays.following().mayReturn() instanceof Following.Ask first) {
+            if (wanted && returning == null
+                    && relays.following().mayReturn() instanceof Following.Ask first) {
                 returning = new Call(true, relays.order().get(first.place()));
                 returning.open();
             }
--- a/sidecar/src/main/java/topazvalve/sidecar/discovery/Lines.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/Lines.java
@@ -30,16 +30,26 @@
 
     /** Takes more bytes; what can't be part of an object, or is too long, is an exception that says so. */
     void take(ByteBuf bytes, Taker taker) throws IOException {
+        // Copied out first: byte by byte from a buffer, a list of thousands takes several times its parsing.
+        byte[] some = new byte[bytes.readableBytes()];
+        bytes.readBytes(some);
+        int at = 0;
         boolean wanted = true;
-        while (wanted && bytes.isReadable()) {
-            byte next = bytes.readByte();
+        while (wanted && at < some.length) {
+            byte next = some[at];
             if (depth > 0 || next == '{') {
-                wanted = !add(next) || taker.object(whole());
-            } else if (next == '\n') {
-                wanted = used || taker.empty();
-                used = false;
-            } else if (next != ' ' && next != '\t' && next != '\r') {
-                throw new IOException("a line that is no list");
+                int end = within(some, at);
+                add(some, at, end);
+                at = end;
+                wanted = depth > 0 || taker.object(whole());
+            } else {
+                at++;
+                if (next == '\n') {
+                    wanted = used || taker.empty();
+                    used = false;
+                } else if (next != ' ' && next != '\t' && next != '\r') {
+                    throw new IOException("a line that is no list");
+                }
             }
         }
     }
@@ -55,23 +65,29 @@
         return text;
     }
 
-    /** Adds a byte to the object; true if it is the last one. */
-    private boolean add(byte next) throws IOException {
+    private void add(byte[] some, int from, int to) throws IOException {
         used = true;
-        object.write(next);
-        if (object.size() > LONGEST) {
+        if (object.size() + to - from > LONGEST) {
             throw new IOException("a list of over " + LONGEST + " bytes");
         }
-        if (quoted) {
-            quoted = escaped || next != '"';
-            escaped = !escaped && next == '\\';
-        } else if (next == '"') {
-            quoted = true;
-        } else if (next == '{') {
-            depth++;
-        } else if (next == '}') {
-            depth--;
+        object.write(some, from, to - from);
+    }
+
+    /** Goes on through an object, to behind its last byte or as far as there is something. */
+    private int within(byte[] some, int from) {
+        for (int at = from; at < some.length; at++) {
+            byte next = some[at];
+            if (quoted) {
+                quoted = escaped || next != '"';
+                escaped = !escaped && next == '\\';
+            } else if (next == '"') {
+                quoted = true;
+            } else if (next == '{') {
+                depth++;
+            } else if (next == '}' && --depth == 0) {
+                return at + 1;
+            }
         }
-        return depth == 0;
+        return some.length;
     }
 }
--- a/sidecar/src/test/java/topazvalve/sidecar/RelaysTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/RelaysTest.java
@@ -48,8 +48,8 @@
     }
 
     private static String line(long rev, boolean all, String versions, String state) {
-        return chunk("{\"rev\":" + rev + ",\"all\":" + all + ",\"versions\":\"" + versions + "\",\"targets\":["
-                + Bed.target("s-1", "127.0.0.1:9", state) + "]}\n");
+        return chunk("{\"rev\":" + rev + ",\"all\":" + all + ",\"versions\":\"" + versions
+                + "\",\"targets\":[" + Bed.target("s-1", "127.0.0.1:9", state) + "]}\n");
     }
 
     /** One that answers with a line, and then with an empty one whenever it is asked. */
@@ -107,7 +107,7 @@
             assertEquals(ListKind.DELTA, Stub.next(told).kind);
             long began = System.nanoTime();
             Stub.next(next.heads);
-            assertTrue(System.nanoTime() - began >= TimeUnit.SECONDS.toNanos(2), "not before it missed a line");
+            assertTrue(System.nanoTime() - began >= TimeUnit.SECONDS.toNanos(2), "not before it missed one");
             assertEquals("end", Stub.next(silent.ended));
         }
     }
@@ -124,7 +124,7 @@
         }
     }
 
-    /** Nobody answers, then somebody does: the list in force stayed, and the module was told of no failure. */
+    /** Nobody answers, then somebody does: the list in force stayed, and the module heard of no failure. */
     @Test
     void whoFindsNobodyGoesOnAskingAndKeepsItsList() throws Exception {
         BlockingQueue<String> asked = new LinkedBlockingQueue<>();
