The two measurements of the packaged sidecar are named so, not as tests

RateTest and StartTest in world/measure are no tests: they are RateMeasurement and StartMeasurement now. Only the names and their one caller change; compiled.

--- a/command/src/main/java/topazvalve/command/Measure.java
+++ b/command/src/main/java/topazvalve/command/Measure.java
@@ -12,8 +12,8 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
-import topazvalve.world.measure.RateTest;
-import topazvalve.world.measure.StartTest;
+import topazvalve.world.measure.RateMeasurement;
+import topazvalve.world.measure.StartMeasurement;
 
 /** Measures the packaged sidecar on this machine. */
 @Command(name = "measure",
@@ -54,7 +54,7 @@
             }
             PrintWriter out = spec.commandLine().getOut();
             Path folder = Files.createTempDirectory("topazvalve");
-            List<RateTest.Step> steps = RateTest.run(Real.home(), folder, first, factor,
+            List<RateMeasurement.Step> steps = RateMeasurement.run(Real.home(), folder, first, factor,
                     Duration.ofSeconds(seconds),
                     core, step -> {
                         out.printf(Locale.ROOT,
@@ -65,8 +65,8 @@
                         out.flush();
                     });
             double highest =
-                    steps.stream().filter(RateTest.Step::carried).mapToDouble(RateTest.Step::rate).max()
-                    .orElse(0);
+                    steps.stream().filter(RateMeasurement.Step::carried)
+                            .mapToDouble(RateMeasurement.Step::rate).max().orElse(0);
             out.printf(Locale.ROOT, "carried: %.0f a second%n", highest);
             return highest > 0 ? ExitCode.DONE : ExitCode.FAILED;
         }
@@ -93,7 +93,7 @@
             PrintWriter out = spec.commandLine().getOut();
             Path folder = Files.createTempDirectory("topazvalve");
             for (int parts : new int[] {1, 2, 4}) {
-                StartTest.Share share = StartTest.run(Real.home(), folder, core, parts, times);
+                StartMeasurement.Share share = StartMeasurement.run(Real.home(), folder, core, parts, times);
                 out.printf(Locale.ROOT,
                         "%.2f of a core: ready in %.2f s (median of %d; %.2f to %.2f), CPU %.2f s%n",
                         1.0 / parts, share.median(), times, share.seconds().get(0),
--- a/world/src/main/java/topazvalve/world/measure/RateTest.java
+++ b/world/src/main/java/topazvalve/world/measure/RateMeasurement.java
@@ -18,7 +18,7 @@
  * The highest open-loop rate at which the p99 through one sidecar on one core stays within 5 ms of the direct
  * path's. Both paths run side by side, at the same rate, to the same stand-ins.
  */
-public final class RateTest {
+public final class RateMeasurement {
     /** What the p99 may be longer by, in nanoseconds. */
     public static final long MOST_OVER = 5_000_000;
     private static final int SERVERS = 4;
@@ -33,7 +33,7 @@
         }
     }
 
-    private RateTest() { }
+    private RateMeasurement() { }
 
     /** Steps up until a rate is not carried; {@code each} is told of every step. */
     public static List<Step> run(Path home, Path folder, double first, double factor, Duration length,
--- a/world/src/main/java/topazvalve/world/measure/StartTest.java
+++ b/world/src/main/java/topazvalve/world/measure/StartMeasurement.java
@@ -11,7 +11,7 @@
  * How long a sidecar takes until it is ready, alone on a core and beside others who want it: with n - 1
  * busy processes there, the system's fair scheduler leaves it one n-th.
  */
-public final class StartTest {
+public final class StartMeasurement {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** Starts at one share of a core; times in seconds, sorted. */
@@ -27,7 +27,7 @@
         }
     }
 
-    private StartTest() { }
+    private StartMeasurement() { }
 
     /** Starts it so many times, alone on the core or beside {@code parts} - 1 busy ones. */
     public static Share run(Path home, Path folder, int core, int parts, int times)
