Accepting pauses by count, and idle clients make room only once they have been heard

Seen: packaged sidecar, 200 descriptors, 600 silent connections, discovery refusing: 200 held, accept fails with "Too many open files", Netty stops it for 1 s each time, no answer on a new connection for 9.4 s, on a kept one for 3.0 s. Ruled out: descriptors not released (they are, in the next select).

Closing for room waits for the loop's next look at its sockets and spares who has sent something; silent new ones hold half of the room at most against idle ones; a connection with a request is never closed, and who comes then waits. Two processes on one socket keep half of the idle ones each. The admin door keeps within its 16. The backlog is 4096: at 1024 dropped connects cost 1 s.

DeployedIT.awaitYes lost its "private" only.

--- a/core/src/main/java/topazvalve/core/time/LoopTime.java
+++ b/core/src/main/java/topazvalve/core/time/LoopTime.java
@@ -23,4 +23,13 @@
         Future<?> set = loop.schedule(action, nanoseconds, TimeUnit.NANOSECONDS);
         return () -> set.cancel(false);
     }
+
+    /**
+     * Runs this on the loop after its next look at its sockets, however late that is: who has sent something
+     * before has been heard by then, and closed channels' descriptors are released in that look.
+     */
+    public static void afterNextSelect(EventLoop loop, Runnable then) {
+        // What is scheduled from within a task runs after the next look.
+        loop.execute(() -> loop.schedule(then, 1, TimeUnit.NANOSECONDS));
+    }
 }
--- a/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
@@ -17,6 +17,7 @@
 import topazvalve.sidecar.admin.AdminServer;
 import topazvalve.sidecar.config.Config;
 import topazvalve.core.lifecycle.Lifecycle;
+import topazvalve.sidecar.front.Frontend;
 import topazvalve.sidecar.listen.ClientListener;
 import topazvalve.tcp.TcpSettings;
 import topazvalve.core.metrics.Metrics;
@@ -43,6 +44,8 @@
     private final Runnable whenReady;
     private final Lifecycle lifecycle = new Lifecycle();
     private final Metrics metrics = new Metrics();
+    /** How many take clients from one socket while one takes over from the other. */
+    private final int processes;
     private final HttpSide http;
     private final Streams streams = new Streams();
     /** What all fronts may hold of bodies and streams. */
@@ -58,8 +61,10 @@
         this.whenReady = whenReady;
         this.listeners = listeners;
         this.budget = new ByteBudget(config.bodyBytes());
-        this.http = new HttpSide(loop, config, config.sockets() / 2, config.mostClients(), metrics,
-                lifecycle, budget);
+        // Two processes on one socket count as one sidecar: together they keep no more idle clients than one.
+        this.processes = clients.shared() ? 2 : 1;
+        this.http = new HttpSide(loop, config, config.sockets() / 2, config.mostClients() / processes,
+                metrics, lifecycle, budget);
     }
 
     void start() {
@@ -81,15 +86,22 @@
         if (clients.shared()) {
             warmUp.end(door, () -> {
                 if (!lifecycle.emptying()) {
-                    onceOpen(clients.open(group, http.front().connections()), "listen", at -> ready());
+                    onceOpen(openClients(), "listen", at -> ready());
                 }
             });
         } else {
-            onceOpen(clients.open(group, http.front().connections()), "listen",
-                    at -> warmUp.end(at, this::ready));
+            onceOpen(openClients(), "listen", at -> warmUp.end(at, this::ready));
         }
     }
 
+    private ChannelFuture openClients() {
+        Frontend front = http.front();
+        int share = config.clientDescriptors();
+        int spare = (share - config.mostClients()) / processes;
+        front.whenMoreAreHeld(clients::resume);
+        return clients.open(group, front.connections(), () -> Math.min(share, front.mostHeld() + spare));
+    }
+
     /** A sidecar that can't listen is of no use: it ends, so that whoever started it sees so. */
     private static void onceOpen(ChannelFuture opened, String key, Consumer<InetSocketAddress> next) {
         opened.addListener(done -> {
--- a/sidecar/src/main/java/topazvalve/sidecar/Streams.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/Streams.java
@@ -41,7 +41,7 @@
             TcpSide side = new TcpSide(loop, each, seed, budget);
             side.start();
             ClientListener listener = ClientListener.beside(each.listen());
-            ChannelFuture opened = listener.open(group, side.connections());
+            ChannelFuture opened = listener.open(group, side.connections(), () -> Integer.MAX_VALUE);
             opened.addListener(done -> {
                 if (done.isSuccess()) {
                     LOG.info("{}: streams at {}", each.name(), opened.channel().localAddress());
--- a/sidecar/src/main/java/topazvalve/sidecar/admin/AdminServer.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/admin/AdminServer.java
@@ -35,6 +35,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import topazvalve.core.lifecycle.Lifecycle;
+import topazvalve.sidecar.listen.AcceptLimit;
 
 /**
  * Listens for operators: one call on each connection, bounded in size, time and number. A caller that says
@@ -44,6 +45,8 @@
     private static final Logger LOG = LoggerFactory.getLogger("admin");
     /** Descriptors that the door may hold. */
     public static final int MOST_CONNECTIONS = 16;
+    /** Of these, for callers that come while the oldest one's is released. */
+    private static final int SPARE_CONNECTIONS = 4;
     private static final int LONGEST_LINE = 1024;
     private static final int LARGEST_HEAD = 8192;
     private static final int LARGEST_BODY = 1024;
@@ -61,6 +64,7 @@
     /** Listens from now on. */
     public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
         return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .handler(new AcceptLimit(() -> MOST_CONNECTIONS))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -73,7 +77,7 @@
     }
 
     private void take(Channel made) {
-        if (connections.size() >= MOST_CONNECTIONS) {
+        if (connections.size() >= MOST_CONNECTIONS - SPARE_CONNECTIONS) {
             Iterator<Channel> oldest = connections.iterator();
             Channel closed = oldest.next();
             oldest.remove();
--- a/sidecar/src/main/java/topazvalve/sidecar/config/Config.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/config/Config.java
@@ -116,11 +116,16 @@
         }
     }
 
-    /** Of the descriptors: clients may need a third for requests at once, and some are on their way out. */
-    public int mostClients() {
+    /** Clients' share of the descriptors: those of {@link #mostClients}, and some on their way in or out. */
+    public int clientDescriptors() {
         return sockets * 3 / 8;
     }
 
+    /** Connections beyond this make room: clients need up to a third of the descriptors for requests. */
+    public int mostClients() {
+        return sockets / 3;
+    }
+
     /** What bodies may hold of the memory: the JVM and its heap's spare room need most of it. */
     public long bodyBytes() {
         return root.path("limits").path("memory_mb").asLong(LEAST_MB) * MB / 12;
@@ -129,7 +134,7 @@
     /** The rest, but for what the JVM, the listening, discovery and operators hold. */
     public int mostUpstream() {
         int operators = admin == null ? 0 : AdminServer.MOST_CONNECTIONS;
-        return Math.max(sockets / 4, sockets - mostClients() - RESERVED - operators);
+        return Math.max(sockets / 4, sockets - clientDescriptors() - RESERVED - operators);
     }
 
     /** Where operators call: the file's word, else the environment's; null if nobody has said. */
--- a/sidecar/src/main/java/topazvalve/sidecar/front/ClientConnection.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/ClientConnection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
@@ -29,7 +28,6 @@
 import java.math.BigDecimal;
 import java.math.RoundingMode;
 import java.util.ArrayDeque;
-import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import topazvalve.core.exchange.Client;
@@ -41,6 +39,7 @@
 import topazvalve.core.stream.ByteBudget;
 import topazvalve.core.stream.RequestBody;
 import topazvalve.core.stream.Source;
+import topazvalve.core.time.LoopTime;
 
 /** One client's connection: one request at a time, each answered once. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject>
@@ -56,8 +55,6 @@
     /** After an error is told: a close with bytes unread would reset the connection and lose the error. */
     private static final long LINGER_TIME = 1_000_000_000L;
     private static final int LINGER_BYTES = 1 << 20;
-    /** A new connection's request comes at once; one that is silent for longer makes room first. */
-    private static final long SILENT_TIME = 100_000_000;
     /** A connection made while the sidecar empties is given so long for its request. */
     private static final long FIRST_TIME = 300_000_000;
     private final Frontend owner;
@@ -135,9 +132,8 @@
         since = System.nanoTime();
     }
 
-    /** The stage, with a new connection that has been silent for long told from one just made. */
-    Stage spare(long now) {
-        return stage == Stage.NEW && now - since > SILENT_TIME ? Stage.SILENT : stage;
+    Stage stage() {
+        return stage;
     }
 
     void checkTime(long now) {
@@ -246,9 +242,7 @@
             }
             last.release();
         };
-        // What is scheduled from within a task runs after the loop's next look at its sockets, however late.
-        EventLoop loop = channel.eventLoop();
-        loop.execute(() -> loop.schedule(goOn, 1, TimeUnit.NANOSECONDS));
+        LoopTime.afterNextSelect(channel.eventLoop(), goOn);
     }
 
     /** There is room for more of the body. */
@@ -318,6 +312,7 @@
         Job<Message> taken = job.within(lifecycle.longestWait());
         job = null;
         enter(Stage.ASKED);
+        owner.requestChanged();
         long number = intake.submit(taken, this);
         // The answer may have come within that call.
         if (stage == Stage.ASKED) {
@@ -428,6 +423,7 @@
         }
         written.addListener(done -> {
             enter(Stage.IDLE);
+            owner.requestChanged();
             // Not from within this call: a row of requests would nest as deep as it is long.
             channel.eventLoop().execute(this::proceed);
         });
--- a/sidecar/src/main/java/topazvalve/sidecar/front/Frontend.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/Frontend.java
@@ -19,6 +19,7 @@
 import topazvalve.sidecar.http.Message;
 import topazvalve.core.lifecycle.Lifecycle;
 import topazvalve.core.stream.ByteBudget;
+import topazvalve.core.time.LoopTime;
 
 /**
  * The application's side: reads requests, answers each once, and tells malformed ones so itself. A client
@@ -34,7 +35,11 @@
 
     private final Intake<Message, Answer> intake;
     private final RequestReader reader;
-    private final int mostConnections;
+    private final EventLoop loop;
+    private final Room room;
+    private boolean makingRoom;
+    private int mostHeld;
+    private Runnable whenMoreAreHeld = () -> { };
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final Set<String> ids = new HashSet<>();
     private final ArrayDeque<Past> past = new ArrayDeque<>();
@@ -50,7 +55,9 @@
         this.budget = budget;
         this.lifecycle = lifecycle;
         this.reader = new RequestReader(classes, tenantNames);
-        this.mostConnections = mostConnections;
+        this.loop = loop;
+        this.room = new Room(mostConnections);
+        this.mostHeld = mostConnections;
         sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -60,15 +67,12 @@
         return new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel made) {
-                if (connections.size() >= mostConnections && !makeRoom()) {
-                    made.close();
-                    return;
-                }
                 ClientConnection connection = new ClientConnection(Frontend.this, intake, reader,
                         lifecycle, budget, made);
                 connections.add(connection);
                 made.pipeline().addLast(new HttpResponseEncoder(), connection.decoder(),
                         connection);
+                requireRoom();
             }
         };
     }
@@ -83,21 +87,52 @@
         return connections.isEmpty();
     }
 
-    /** Closes the connection that is missed least; false if each holds a whole request. */
-    private boolean makeRoom() {
+    /**
+     * Closes those that are missed least once all has been read that is there: who is about to be closed may
+     * have sent a request. Danger: its closing is heard of later than the next one comes, and must count now.
+     */
+    private void requireRoom() {
+        if (makingRoom || connections.size() <= room.most()) {
+            return;
+        }
+        makingRoom = true;
+        loop.execute(() -> {
+            long heardUntil = System.nanoTime();
+            LoopTime.afterNextSelect(loop, () -> makeRoom(heardUntil));
+        });
+    }
+
+    private void makeRoom(long heardUntil) {
+        makingRoom = false;
         long now = System.nanoTime();
-        ClientConnection least = null;
-        for (ClientConnection each : connections) {
-            Stage stage = each.spare(now);
-            if (stage.compareTo(Stage.ASKED) < 0 && (least == null || stage.compareTo(least.spare(now)) < 0
-                    || stage == least.spare(now) && each.since() < least.since())) {
-                least = each;
+        while (connections.size() > room.most()) {
+            ClientConnection least = room.leastMissed(connections, now, heardUntil);
+            if (least == null) {
+                break;
             }
-        }
-        if (least != null) {
+            left(least);
             least.close();
         }
-        return least != null;
+        int before = mostHeld;
+        mostHeld = Math.max(room.most(), Room.requests(connections));
+        if (mostHeld > before) {
+            whenMoreAreHeld.run();
+        }
+    }
+
+    /** How many connections are kept, beside some on their way in or out: more where more have requests. */
+    public int mostHeld() {
+        return mostHeld;
+    }
+
+    /** Calls this whenever {@link #mostHeld} has grown. */
+    public void whenMoreAreHeld(Runnable told) {
+        whenMoreAreHeld = told;
+    }
+
+    /** A connection's request has begun, or ended so that it may have to make room. */
+    void requestChanged() {
+        requireRoom();
     }
 
     private void sweep() {
@@ -105,6 +140,7 @@
         for (ClientConnection connection : List.copyOf(connections)) {
             connection.checkTime(now);
         }
+        requireRoom();
         while (!past.isEmpty() && now - past.peek().at > ID_TIME) {
             ids.remove(past.poll().id);
         }
--- a/sidecar/src/main/java/topazvalve/sidecar/front/Stage.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/Stage.java
@@ -1,4 +1,4 @@
 package topazvalve.sidecar.front;
 
-/** Where a connection is. Those before {@link #ASKED} may make room for others, the first one first. */
-enum Stage { LINGERING, SILENT, IDLE, NEW, READING, ASKED, ANSWERED }
+/** Where a connection is. Those before {@link #READING} hold nothing of a request. */
+enum Stage { LINGERING, IDLE, NEW, READING, ASKED, ANSWERED }
--- a/sidecar/src/main/java/topazvalve/sidecar/listen/ClientListener.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/listen/ClientListener.java
@@ -13,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
+import java.util.function.IntSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import topazvalve.core.stream.ByteBudget;
@@ -20,11 +21,13 @@
 /** Takes clients' connections, from a socket that it binds or from one that was handed down. */
 public final class ClientListener {
     private static final Logger LOG = LoggerFactory.getLogger("topazvalve");
-    private static final int BACKLOG = 1024;
+    /** A burst beyond it has its connects dropped, and they come again a second later; the system caps it. */
+    private static final int BACKLOG = 4096;
 
     private final InetSocketAddress address;
     private final ServerSocketChannel inherited;
     private final boolean beside;
+    private AcceptLimit limit;
     private Channel server;
 
     private ClientListener(InetSocketAddress address, ServerSocketChannel inherited, boolean beside) {
@@ -71,9 +74,10 @@
         return inherited != null;
     }
 
-    /** Takes connections from now on. */
-    public ChannelFuture open(EventLoopGroup group, ChannelHandler each) {
-        ServerBootstrap bootstrap = new ServerBootstrap().group(group)
+    /** Takes connections from now on, {@code most} at a time; others wait until one of these has ended. */
+    public ChannelFuture open(EventLoopGroup group, ChannelHandler each, IntSupplier most) {
+        limit = new AcceptLimit(most);
+        ServerBootstrap bootstrap = new ServerBootstrap().group(group).handler(limit)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
@@ -90,6 +94,13 @@
         return opened;
     }
 
+    /** More connections than before may be held. */
+    public void resume() {
+        if (server != null) {
+            limit.resume(server);
+        }
+    }
+
     /**
      * Takes no more; what waits in a shared socket's queue is left to the other process. Such a socket is
      * never closed: the JVM would point standard output and error at nothing along with it.
--- a/sidecar/src/test/java/topazvalve/sidecar/Bed.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/Bed.java
@@ -29,6 +29,8 @@
     static final ObjectMapper JSON = new ObjectMapper();
     static final int LONG_MS = 20_000;
     static final int MOST = 100;
+    /** Descriptors for connections on their way in or out. */
+    static final int SPARE = 10;
 
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -45,16 +47,24 @@
     /** An answer as the client saw it. */
     record Answer(int status, String head, String body) { }
 
+    /** What every accepted connection is counted with, by the descriptors held. */
+    final OpenConnections open = new OpenConnections();
+
     Bed(ObjectNode json) throws Exception {
+        this(json, MOST);
+    }
+
+    /** With room for so many clients. */
+    Bed(ObjectNode json, int mostClients) throws Exception {
         Config config = config(json);
-        side = new HttpSide(loop, config, MOST, MOST, metrics, lifecycle,
+        side = new HttpSide(loop, config, MOST, mostClients, metrics, lifecycle,
                 new ByteBudget(config.bodyBytes()));
         frontend = side.front();
         engine = side.exchanges();
         loop.submit(() -> side.start(config)).sync();
         clients = ClientListener.binding(config.listen());
-        address = (InetSocketAddress) clients.open(group, frontend.connections()).sync().channel()
-                .localAddress();
+        address = (InetSocketAddress) clients.open(group, open.counting(frontend.connections()),
+                () -> mostClients + SPARE).sync().channel().localAddress();
         admin = (InetSocketAddress) new AdminServer(lifecycle, () -> metrics.text(engine))
                 .listen(group, new InetSocketAddress("127.0.0.1", 0)).sync().channel().localAddress();
     }
--- a/sidecar/src/test/java/topazvalve/sidecar/DeployedIT.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/DeployedIT.java
@@ -133,7 +133,7 @@
         return ProcessHandle.of(Long.parseLong(process.inputReader().readLine())).orElseThrow();
     }
 
-    private static void awaitYes(InetSocketAddress door) throws Exception {
+    static void awaitYes(InetSocketAddress door) throws Exception {
         String ready = "GET /_ready HTTP/1.1\r\nHost: a\r\n\r\n";
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Stub.LIMIT_S);
         while (true) {
--- /dev/null
+++ b/sidecar/src/test/java/topazvalve/sidecar/OpenConnections.java
@@ -0,0 +1,36 @@
+package topazvalve.sidecar;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import topazvalve.core.time.LoopTime;
+
+/** Counts the descriptors that a listener's connections hold: a closed one's until the loop's next look. */
+final class OpenConnections {
+    private int now;
+    private volatile int most;
+    private volatile int taken;
+
+    ChannelHandler counting(ChannelHandler each) {
+        return new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel made) {
+                now++;
+                taken++;
+                most = Math.max(most, now);
+                made.closeFuture().addListener(closed -> LoopTime.afterNextSelect(made.eventLoop(),
+                        () -> now--));
+                made.pipeline().addLast(each);
+            }
+        };
+    }
+
+    /** The most at a time so far. */
+    int most() {
+        return most;
+    }
+
+    int taken() {
+        return taken;
+    }
+}
