--- a/sidecar/src/test/java/topazvalve/sidecar/Bed.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/Bed.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
@@ -58,7 +59,7 @@
     Bed(ObjectNode json, int mostClients) throws Exception {
         Config config = config(json);
         side = new HttpSide(loop, config, MOST, mostClients, metrics, lifecycle,
-                new ByteBudget(config.bodyBytes()));
+                new ByteBudget(config.bodyBytes()), List.of());
         frontend = side.front();
         engine = side.exchanges();
         loop.submit(() -> side.start(config)).sync();
