--- a/decisions/src/test/java/topazvalve/decisions/FleetRulesTest.java
+++ b/decisions/src/test/java/topazvalve/decisions/FleetRulesTest.java
@@ -60,7 +60,7 @@
 
         private record Call(int sidecar, long endsAt, boolean answered) { }
 
-        /** {@code hang} is how long a call takes to fail while it is {@code down}, 0 for one that is refused. */
+        /** While it is {@code down} a call takes {@code hang} to fail, 0 for one that is refused. */
         Discovery(int sidecars, int aSecond, long down, long hang, long seed) {
             for (int i = 0; i < sidecars; i++) {
                 fleet.add(new Recorder(settings(Balancer.Discovery.SUBSCRIBE, REPEATABLE), seed * 1_000 + i)
--- a/sidecar/src/main/java/topazvalve/sidecar/discovery/ListCall.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/ListCall.java
@@ -30,7 +30,7 @@
 public final class ListCall extends SimpleChannelInboundHandler<HttpObject> {
     /** A call may wait in discovery's queue, for 2 s where that is known, before it is answered or fails. */
     public static final long ANSWER_MS = 2_500;
-    /** What it may take after calls that hung: a queue may be longer, and asking sooner doesn't shorten it. */
+    /** What it may take after one that hung: a queue may be longer, and asking sooner doesn't shorten it. */
     public static final long LONGEST_ANSWER_MS = 5_000;
     /**
      * An answered watch brings an empty line every 2 s. One that has fallen silent counts as told 6 s later:
--- a/sidecar/src/test/java/topazvalve/sidecar/DescriptorsIT.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/DescriptorsIT.java
@@ -108,6 +108,24 @@
         assertFalse(log.contains("Too many open files"), log);
     }
 
+    /** A flood from before the program listens neither holds its start back nor takes all descriptors. */
+    @Test
+    void floodFromTheFirstMomentHoldsNoStartBack() throws Exception {
+        InetSocketAddress address = DeployedIT.freeAddress();
+        Path file = Files.writeString(folder.resolve("config.json"),
+                config(address, DeployedIT.freeAddress()).toString());
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command());
+        builder.environment().put("PROXY_CONFIG", file.toString());
+        try (Flood flood = new Flood(address, SILENT)) {
+            process = builder.start();
+            DeployedIT.awaitUp(process, address);
+            flood.awaitConnected();
+        }
+        process.toHandle().destroy();
+        String log = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(log.contains("ready at") && !log.contains("Too many open files"), log);
+    }
+
     /** Two processes take clients from one socket: together they hold no more than one may. */
     @Test
     void silentClientsOfTwoProcessesHoldOneShare() throws Exception {
