Those that make room are chosen in one pass, not one pass for each

Seen (flight recorder, first flood of 1,728): 5 of 52 samples in Room.leastMissed, which looked at every connection again for each that was to be closed. Now one sorted pass gives as many as are needed; the order is the same. RoomTest, FrontTest, ReadinessTest, CrossingsTest passed.

--- a/sidecar/src/main/java/topazvalve/sidecar/front/Frontend.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/Frontend.java
@@ -104,14 +104,12 @@
 
     private void makeRoom(long heardUntil) {
         makingRoom = false;
-        long now = System.nanoTime();
-        while (connections.size() > room.most()) {
-            ClientConnection least = room.leastMissed(connections, now, heardUntil);
-            if (least == null) {
-                break;
+        int over = connections.size() - room.most();
+        if (over > 0) {
+            for (ClientConnection each : room.leastMissed(connections, over, System.nanoTime(), heardUntil)) {
+                left(each);
+                each.close();
             }
-            left(least);
-            least.close();
         }
         int before = mostHeld;
         mostHeld = Math.max(room.most(), Room.requests(connections));
--- a/sidecar/src/main/java/topazvalve/sidecar/front/Room.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/Room.java
@@ -1,6 +1,9 @@
 package topazvalve.sidecar.front;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 
 /**
  * Which connection is closed where there are too many: one that holds a request never is. New ones that have
@@ -32,40 +35,49 @@
     }
 
     /**
-     * The connection that is missed least, or null. Only those are looked at whose stage began before
-     * {@code heardUntil}: what they sent until then has been read.
+     * The {@code count} connections that are missed least, or fewer. Only those are looked at whose stage
+     * began before {@code heardUntil}: what they sent until then has been read.
      */
-    ClientConnection leastMissed(Collection<ClientConnection> connections, long now, long heardUntil) {
-        ClientConnection turnedAway = null;
-        ClientConnection silent = null;
-        ClientConnection idle = null;
-        ClientConnection stalled = null;
+    List<ClientConnection> leastMissed(Collection<ClientConnection> connections, int count, long now,
+            long heardUntil) {
+        ArrayDeque<ClientConnection> turnedAway = new ArrayDeque<>();
+        ArrayDeque<ClientConnection> silent = new ArrayDeque<>();
+        ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
+        ArrayDeque<ClientConnection> stalled = new ArrayDeque<>();
+        List<ClientConnection> all = new ArrayList<>(connections);
+        // Less is earlier, also where the clock's numbers wrap around.
+        all.sort((one, other) -> Long.signum(one.since() - other.since()));
         int silentCount = 0;
-        for (ClientConnection each : connections) {
+        for (ClientConnection each : all) {
             silentCount += each.stage() == Stage.NEW ? 1 : 0;
             if (each.since() - heardUntil > 0 || each.busy()) {
                 continue;
             }
             switch (each.stage()) {
-                case LINGERING -> turnedAway = longer(turnedAway, each);
-                case NEW -> silent = longer(silent, each);
-                case IDLE -> idle = longer(idle, each);
-                case READING -> stalled = longer(stalled, each);
+                case LINGERING -> turnedAway.add(each);
+                case NEW -> silent.add(each);
+                case IDLE -> idle.add(each);
+                case READING -> stalled.add(each);
                 default -> { }
             }
         }
-        if (turnedAway != null) {
-            return turnedAway;
-        }
-        if (silent != null
-                && (now - silent.since() > SILENT_TIME || silentCount > most / 2 || idle == null)) {
-            return silent;
+        List<ClientConnection> least = new ArrayList<>(count);
+        while (least.size() < count) {
+            ArrayDeque<ClientConnection> from = !turnedAway.isEmpty() ? turnedAway
+                    : isDue(silent, now) || silentCount > most / 2 && !silent.isEmpty() ? silent
+                    : !idle.isEmpty() ? idle
+                    : !silent.isEmpty() ? silent
+                    : isDue(stalled, now) ? stalled : null;
+            if (from == null) {
+                break;
+            }
+            least.add(from.poll());
+            silentCount -= from == silent ? 1 : 0;
         }
-        return idle != null ? idle
-                : stalled != null && now - stalled.since() > SILENT_TIME ? stalled : null;
+        return least;
     }
 
-    private static ClientConnection longer(ClientConnection one, ClientConnection other) {
-        return one == null || other.since() - one.since() < 0 ? other : one;
+    private static boolean isDue(ArrayDeque<ClientConnection> oldestFirst, long now) {
+        return !oldestFirst.isEmpty() && now - oldestFirst.peek().since() > SILENT_TIME;
     }
 }
