--- a/world/src/main/java/topazvalve/world/oracle/Rule.java
+++ b/world/src/main/java/topazvalve/world/oracle/Rule.java
@@ -24,6 +24,6 @@
     COLD,
     /** What was given up is answered at once, not when half of its time is over. */
     AT_ONCE,
-    /** Nothing is sent on for a client that left 0.3 s before or earlier. */
+    /** No attempt, first or further, begins for a client that left 0.1 s before or earlier. */
     CLIENT_LEFT
 }
--- a/world/src/main/java/topazvalve/world/virtual/VirtualInstance.java
+++ b/world/src/main/java/topazvalve/world/virtual/VirtualInstance.java
@@ -176,12 +176,18 @@
         }
     }
 
-    /** The client has left. */
+    /** The client has left: as in the real host, what is not written yet is given up, cancel or not. */
     void hangup(VirtualCall call) {
         if (!call.over) {
             call.over = true;
             forget(call);
             tell(() -> balancer.hangup(now(), call.id));
+            for (VirtualAttempt attempt : call.attempts) {
+                if (attempt != null && !attempt.ended && !attempt.written) {
+                    giveUp(attempt);
+                    tell(() -> ended(attempt, Outcome.CANCELLED));
+                }
+            }
         }
     }
 
--- /dev/null
+++ b/world/src/test/java/topazvalve/world/oracle/ClientLeftTest.java
@@ -0,0 +1,61 @@
+package topazvalve.world.oracle;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import topazvalve.world.scenario.Scenario;
+import topazvalve.world.scenario.ScenarioFile;
+
+/** An attempt for a client that has left: 0.1 s and the way to the server are granted, to each attempt. */
+class ClientLeftTest {
+    private static final long MS = 1_000_000;
+    private static final long FLIGHT = 7 * MS;
+    private static final long TOLERANCE = 3 * MS;
+    private static final long LEFT_AT = 1_000 * MS;
+    private static final long LAST = LEFT_AT + 100 * MS + FLIGHT + TOLERANCE;
+    private static final String SCENARIO = """
+            name = "left"
+            length = "5s"
+            [fleet]
+            servers = 3
+            instances = 1
+            zones = ["a"]
+            pod_size = 1
+            [load]
+            rate = 1
+            keys = 1
+            [[machine]]
+            name = "m"
+            cores = 1
+            cold_time = "1s"
+            [[class]]
+            name = "look"
+            work = "1ms"
+            aim = "2s"
+            deadline = "2s"
+            repeats = "free"
+            """;
+
+    /** The attempts before the last one came in time. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4})
+    void lateAttemptIsFoundWhicheverItIs(int attempts) {
+        assertEquals(Map.of(), play(attempts, LAST));
+        assertEquals(Map.of(Rule.CLIENT_LEFT, 1), play(attempts, LAST + 1));
+    }
+
+    private static Map<Rule, Integer> play(int attempts, long last) {
+        Scenario scenario = ScenarioFile.parse("left.toml", SCENARIO);
+        Oracle oracle = new Oracle(scenario.limits(), TOLERANCE, FLIGHT);
+        Trace trace = new Trace(1, 0, scenario.classes().get(0), 0, 2_000 * MS);
+        oracle.sent(trace);
+        for (int i = 1; i < attempts; i++) {
+            oracle.received(trace, i, 0, 0, true, LEFT_AT / 10 * i);
+        }
+        oracle.left(trace, LEFT_AT);
+        oracle.received(trace, attempts, 0, 0, true, last);
+        return oracle.counts();
+    }
+}
--- a/world/src/test/java/topazvalve/world/virtual/FaultySidecar.java
+++ b/world/src/test/java/topazvalve/world/virtual/FaultySidecar.java
@@ -13,6 +13,8 @@
 final class FaultySidecar extends VirtualInstance {
     private static final int NOW_AND_THEN = 20;
     private static final long LATER = 1_000_000_000L;
+    /** Over the 0.1 s that a client's leaving may take to be heard of, and the way to a server here. */
+    private static final long AFTER_LEAVING = 250_000_000L;
     private final Rule breaks;
     private long newest = 1;
     private long newestStart;
@@ -63,7 +65,7 @@
     @Override
     void hangup(VirtualCall call) {
         if (breaks == Rule.CLIENT_LEFT) {
-            world.clock().at(world.clock().now() + LATER, () -> send(call, 1, 0));
+            world.clock().at(world.clock().now() + AFTER_LEAVING, () -> send(call, 1, 0));
         } else {
             super.hangup(call);
         }
