Nothing begins for a client that left: bytes without room, the accept queue, stalls

Read in the code: reading stopped where more than a share of the byte budget lay behind an open request, so its client's end was never heard of; a request that lay in the accept queue, or in its socket while the loop stalled, was sent on before the end behind it was read; after a stall an upstream's failure could be read before a client's end, and its retry went out at once over a rested connection. Now what has no room is read and dropped, and the connection ends in order behind the last request that was kept whole (over 1 MiB more it is told that it failed). A connection's first request counts after one more look at its socket. The event queue, a connection's times and the worded answers are classes of their own. Scene now also holds that no attempt begins after a leaving.

--- a/core/src/main/java/topazvalve/core/exchange/Exchanges.java
+++ b/core/src/main/java/topazvalve/core/exchange/Exchanges.java
@@ -1,7 +1,6 @@
 package topazvalve.core.exchange;
 
 import io.netty.buffer.ByteBuf;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -35,7 +34,6 @@
  */
 public final class Exchanges<Q, A>
         implements Intake<Q, A>, Balancer.Actions, Metrics.Gauges, ServerList.Listener {
-    private static final Logger LOG = LoggerFactory.getLogger("engine");
     private static final Logger MODULE = LoggerFactory.getLogger("module");
     /** What of a client's wait is kept for the answer's way back; the module does not know of it. */
     private static final long ANSWER_ROOM = 10_000_000;
@@ -53,17 +51,16 @@
     private final Balancer module;
     private final Map<Long, Exchange<Q, A>> exchanges = new HashMap<>();
     private final ServerNumbers numbers = new ServerNumbers();
-    private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
+    private final EventQueue events;
     private ServerList servers;
     private int tryLimit;
-    private boolean telling;
-    private long faults;
     private long lastId;
 
     /** Holds at most {@code mostOpen} exchanges; more are refused at once. */
     public Exchanges(Time time, Options options, ModuleMaker maker, Back<Q, A> back, int mostOpen,
             Metrics metrics, ClassTable classes) {
         this.time = time;
+        this.events = new EventQueue(time);
         this.back = back;
         this.mostOpen = mostOpen;
         this.metrics = metrics;
@@ -104,25 +101,8 @@
         tell(now -> module.retuned(now, settings));
     }
 
-    /** Tells the module one event; what happens meanwhile waits, since the module is never entered twice. */
     private void tell(LongConsumer event) {
         events.add(event);
-        if (telling) {
-            return;
-        }
-        telling = true;
-        try {
-            for (LongConsumer next = events.poll(); next != null; next = events.poll()) {
-                try {
-                    next.accept(time.now());
-                } catch (RuntimeException e) {
-                    faults++;
-                    LOG.error("event not handled", e);
-                }
-            }
-        } finally {
-            telling = false;
-        }
     }
 
     @Override
@@ -249,7 +229,7 @@
 
     /** How many events could not be handled: each is a fault of this program. */
     long faults() {
-        return faults;
+        return events.faults();
     }
 
     /** Where each that is known is. */
@@ -327,17 +307,13 @@
 
         @Override
         public void ended(Outcome outcome, A answer, float[] load) {
+            // An answer that is there does not wait for what else is to be heard of. Danger: a fault on the
+            // client's side that left out the rest would leave the attempt counted as in flight for good.
+            events.handle(now -> pass(outcome, answer));
             tell(now -> {
-                try {
-                    pass(outcome, answer);
-                } finally {
-                    // Danger: a fault on the client's side that left this out would leave the attempt
-                    // counted as in flight for good.
-                    exchange.ended();
-                    module.outcome(now, exchange.id, number, server, outcome, now - sentAt,
-                            !exchange.open(), load);
-                    forget(exchange);
-                }
+                exchange.ended();
+                module.outcome(now, exchange.id, number, server, outcome, now - sentAt, !exchange.open(), load);
+                forget(exchange);
             });
         }
 
--- a/core/src/main/java/topazvalve/core/time/Time.java
+++ b/core/src/main/java/topazvalve/core/time/Time.java
@@ -8,6 +8,14 @@
     /** Calls once, so many nanoseconds from now. */
     Alarm after(long nanoseconds, Runnable action);
 
+    /**
+     * Runs it: at once, unless the thread was held up for so long that what peers did meanwhile is still to be
+     * heard of; then once that was heard, never inside this call.
+     */
+    default void whenHeard(Runnable action) {
+        action.run();
+    }
+
     /** One call to come. */
     interface Alarm {
         /** It will not be called, unless it was. */
--- a/core/src/test/java/topazvalve/core/exchange/Scene.java
+++ b/core/src/test/java/topazvalve/core/exchange/Scene.java
@@ -68,6 +68,7 @@
     private int orders;
     private boolean begun;
     private boolean left;
+    private int sentUntilLeft;
     private boolean dropped;
     private boolean retuned;
     private boolean stopped;
@@ -262,6 +263,7 @@
             case "hangup" -> {
                 left = finals.isEmpty();
                 exchanges.hangup(id);
+                sentUntilLeft = back.sent.size();
             }
             case "order" -> {
                 if (exchanges.held() > 0) {
@@ -310,6 +312,7 @@
         assertEquals(0, exchanges.faults(), "an event was not handled");
         outcomes.forEach((number, count) -> assertEquals(1, count, "outcomes of attempt " + number));
         assertTrue(back.sent.size() <= TRIES, "more than four attempts");
+        assertTrue(!left || back.sent.size() == sentUntilLeft, "an attempt begins, its client has left");
         for (PlayBack.Sent each : back.sent) {
             assertTrue(each.readyThen, "sent to a drained server");
             assertTrue(rogue || semantics != Semantics.ONCE || !each.afterDoubt, "ran twice");
--- a/sidecar/src/main/java/topazvalve/sidecar/HttpSide.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/HttpSide.java
@@ -27,7 +27,7 @@
     HttpSide(EventLoop loop, Config config, int mostOpen, int mostClients, Metrics metrics,
             Lifecycle lifecycle, ByteBudget budget) {
         ClassTable classes = new ClassTable();
-        Time time = new LoopTime(loop);
+        Time time = LoopTime.watched(loop);
         exchanges = new Exchanges<>(time, config.options(),
                 (settings, actions) -> new Rules(settings, config.seed(), actions),
                 new Pools<>(loop, time, config.options(), new HttpCodec(HttpCodec.REST),
--- a/sidecar/src/main/java/topazvalve/sidecar/front/ClientConnection.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/ClientConnection.java
@@ -26,8 +26,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.math.BigDecimal;
-import java.math.RoundingMode;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -47,19 +45,7 @@
         implements Client<Answer> {
     private static final Logger LOG = LoggerFactory.getLogger("frontend");
     private static final int LARGEST_BODY = 1 << 25;
-    /** From the connecting, or a used connection's first byte, to a head's end; then without a byte. */
-    private static final long REQUEST_TIME = 2_500_000_000L;
-    /** Clients keep connections; one that is not used for so long is not missed. */
-    private static final long IDLE_TIME = 3_000_000_000L;
-    /** A client that takes nothing of its answer holds memory; a slow one takes some now and then. */
-    private static final long TAKE_TIME = 15_000_000_000L;
-    /** After an error is told: a close with bytes unread would reset the connection and lose the error. */
-    private static final long LINGER_TIME = 1_000_000_000L;
     private static final int LINGER_BYTES = 1 << 20;
-    /** A new connection's request comes at once; one that is silent for longer makes room first. */
-    private static final long SILENT_TIME = 100_000_000;
-    /** A connection made while the sidecar empties is given so long for its request. */
-    private static final long FIRST_TIME = 300_000_000;
     private final Frontend owner;
     private final Intake<Message, Answer> intake;
     private final RequestReader reader;
@@ -76,8 +62,8 @@
     private RequestBody body;
     /** Whether the end of the body is still to come. */
     private boolean incoming;
-    /** The body was left unread for a while, so that its client may have gone unseen. */
-    private boolean leftUnread;
+    /** What was read lay in the socket for a while, as before its accepting: its client may have gone. */
+    private boolean leftUnread = true;
     /** Its last byte is there and counts after one more look at the socket. */
     private boolean looking;
     private boolean keepAlive;
@@ -137,25 +123,17 @@
 
     /** The stage, with a new connection that has been silent for long told from one just made. */
     Stage spare(long now) {
-        return stage == Stage.NEW && now - since > SILENT_TIME ? Stage.SILENT : stage;
+        return StageTimes.silent(stage, now - since) ? Stage.SILENT : stage;
     }
 
     void checkTime(long now) {
-        if (stage.compareTo(Stage.READING) < 0 && stage != Stage.LINGERING && lifecycle.closesIdle()
-                && now - since > FIRST_TIME) {
+        if (lifecycle.closesIdle() && StageTimes.unusedForLong(stage, now - since)) {
             channel.close();
             return;
         }
         // Who is kept waiting by the sidecar is not late.
         boolean mute = incoming && channel.config().isAutoRead();
-        long limit = switch (stage) {
-            case LINGERING -> LINGER_TIME;
-            case IDLE -> IDLE_TIME;
-            case ANSWERED -> flow != null && flow.taken() ? Long.MAX_VALUE : TAKE_TIME;
-            case ASKED -> mute ? REQUEST_TIME : Long.MAX_VALUE;
-            default -> REQUEST_TIME;
-        };
-        if (now - since <= limit) {
+        if (now - since <= StageTimes.limit(stage, mute, flow != null && flow.taken())) {
             return;
         }
         if (stage == Stage.READING || stage == Stage.ASKED) {
@@ -265,7 +243,7 @@
      */
     void readWhileRoom() {
         boolean room = stage == Stage.LINGERING ? lingered <= LINGER_BYTES
-                : decoder.hasRoom() && (!incoming || looking || !body.full());
+                : !decoder.flooded() && (!incoming || looking || !body.full());
         channel.config().setAutoRead(room);
     }
 
@@ -276,7 +254,6 @@
         keepAlive = HttpUtil.isKeepAlive(head);
         oldVersion = head.protocolVersion().minorVersion() == 0;
         job = null;
-        leftUnread = false;
         body = new RequestBody(budget, HttpUtil.getContentLength(head, -1L));
         body.onRoom(this::readOn);
         incoming = true;
@@ -327,25 +304,17 @@
 
     @Override
     public void served(Answer answer) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                answer.status(), Unpooled.wrappedBuffer(answer.body()));
-        response.headers().set(answer.headers());
-        answer(response);
+        answer(Replies.served(answer));
     }
 
     @Override
     public void refused(long wait) {
-        FullHttpResponse response = Replies.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused");
-        if (wait > 0) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER,
-                    BigDecimal.valueOf(wait, 9).setScale(3, RoundingMode.UP).toPlainString());
-        }
-        answer(response);
+        answer(Replies.refused(wait));
     }
 
     @Override
     public void failed() {
-        answer(Replies.plain(HttpResponseStatus.BAD_GATEWAY, "failed"));
+        answer(Replies.failed());
     }
 
     @Override
@@ -402,7 +371,8 @@
 
     /** Whether the connection stays: a request that has been read already must be answered first. */
     private boolean keeps() {
-        return keepAlive && (!lifecycle.emptying() || !waiting.isEmpty() || decoder.keeps());
+        boolean takesMore = !lifecycle.emptying() && !decoder.overflowed();
+        return keepAlive && (takesMore || !waiting.isEmpty() || decoder.keeps());
     }
 
     private void answer(FullHttpResponse response) {
@@ -422,6 +392,10 @@
     }
 
     private void end(ChannelFuture written, boolean keep) {
+        if (!keep && decoder.overflowed()) {
+            written.addListener(done -> linger(written));
+            return;
+        }
         if (!keep) {
             written.addListener(ChannelFutureListener.CLOSE);
             return;
@@ -467,14 +441,38 @@
         }
     }
 
-    /** Answers, sends no more, and for a while reads on what is dropped unseen. */
+    /** Far more has come behind the open request than there is room for; an answer that has begun goes on. */
+    void flooded() {
+        readWhileRoom();
+        if (stage == Stage.ASKED) {
+            long open = request;
+            end(Replies.failed());
+            intake.hangup(open);
+        }
+    }
+
+    /** The last request that was kept whole is answered, and what came behind it was dropped. */
+    void endRow() {
+        if (stage == Stage.ASKED) {
+            flooded();  // a body whose rest was dropped
+        } else if (stage == Stage.IDLE || stage == Stage.READING) {
+            linger(channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    /** Answers, and takes nothing more. */
     private void end(FullHttpResponse response) {
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        HttpUtil.setContentLength(response, response.content().readableBytes());
+        linger(channel.writeAndFlush(response));
+    }
+
+    /** Sends no more behind the last words, and for a while reads on what is dropped unseen. */
+    private void linger(ChannelFuture lastWords) {
         enter(Stage.LINGERING);
         forgetInput();
         readWhileRoom();
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        HttpUtil.setContentLength(response, response.content().readableBytes());
-        channel.writeAndFlush(response).addListener(done -> ((DuplexChannel) channel).shutdownOutput());
+        lastWords.addListener(done -> ((DuplexChannel) channel).shutdownOutput());
     }
 
     /** What came is of no interest any more. */
--- a/sidecar/src/main/java/topazvalve/sidecar/front/RequestDecoder.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/RequestDecoder.java
@@ -10,17 +10,22 @@
 import topazvalve.core.stream.ByteBudget;
 
 /**
- * Tells when the first byte of a request has come, and drops what follows one that was rejected. What comes
- * behind an open request is kept as it is, up to a share of the budget: a client that leaves is seen only if
- * all that it sent before has been read.
+ * Tells when the first byte of a request has come, and drops what follows one that was rejected. What is
+ * pipelined behind an open request is kept as it is, up to a share of the budget, and the rest is dropped: a
+ * client that leaves is seen only if all that it sent before has been read, so reading goes on. The
+ * connection ends behind the last request that was kept whole; a client sends anew what was not answered.
  */
 final class RequestDecoder extends HttpRequestDecoder {
     /** What is decoded at once of what was kept: decoded requests take several times their bytes. */
     private static final int PIECE = 1 << 10;
+    /** Who sends more than so many bytes that are dropped is ended: reading them costs the others. */
+    private static final int MOST_DROPPED = 1 << 20;
     private final ClientConnection connection;
     private final ByteBudget budget;
     private ChannelHandlerContext context;
     private ByteBuf kept;
+    /** Bytes that had no room; from the first one on nothing more is taken on this connection. */
+    private long dropped;
 
     RequestDecoder(ClientConnection connection, ByteBudget budget) {
         this.connection = connection;
@@ -38,33 +43,46 @@
         ByteBuf bytes = (ByteBuf) message;
         if (!connection.heard(bytes.readableBytes())) {
             ReferenceCountUtil.release(message);
-        } else if (kept != null || connection.busy()) {
+        } else if (kept != null || overflowed() || connection.busy()) {
             keep(bytes);
-            connection.readWhileRoom();
         } else {
             super.channelRead(from, message);
         }
     }
 
+    /** Keeps it, or drops it where there is no room; what is kept may lie over the share by one read. */
     private void keep(ByteBuf bytes) {
-        if (kept == null) {
-            kept = Unpooled.buffer(bytes.readableBytes());
-            budget.enter();
+        if (overflowed() || kept != null && kept.readableBytes() >= budget.share()) {
+            dropped += bytes.readableBytes();
+            if (flooded()) {
+                drop();
+                connection.flooded();
+            }
+        } else {
+            if (kept == null) {
+                kept = Unpooled.buffer(bytes.readableBytes());
+                budget.enter();
+            }
+            kept.discardSomeReadBytes().writeBytes(bytes);
         }
-        kept.discardSomeReadBytes().writeBytes(bytes);
         bytes.release();
     }
 
+    /** Whether so much was dropped that no more is read. */
+    boolean flooded() {
+        return dropped > MOST_DROPPED;
+    }
+
+    /** Whether some of what came was dropped, so that the connection ends behind what was kept. */
+    boolean overflowed() {
+        return dropped > 0;
+    }
+
     /** Whether more has come than is open. */
     boolean keeps() {
         return kept != null;
     }
 
-    /** Whether more may be read and kept; what was read already may lie over it by one read. */
-    boolean hasRoom() {
-        return kept == null || kept.readableBytes() < budget.share();
-    }
-
     /** Goes on with what was kept, as far as the connection takes it. */
     void goOn() {
         while (kept != null && !connection.busy()) {
@@ -82,6 +100,9 @@
                 connection.exceptionCaught(context, e);
             }
         }
+        if (overflowed() && !connection.busy()) {
+            connection.endRow();
+        }
     }
 
     /** What was kept is of no use any more. */
--- a/tcp/src/main/java/topazvalve/tcp/TcpSide.java
+++ b/tcp/src/main/java/topazvalve/tcp/TcpSide.java
@@ -57,7 +57,7 @@
     public TcpSide(EventLoop loop, TcpSettings settings, long seed, ByteBudget budget) {
         this.settings = settings;
         ClassTable classes = new ClassTable();
-        Time time = new LoopTime(loop);
+        Time time = LoopTime.watched(loop);
         Options options = options(settings);
         // How many there may be is the front's to say, by settings that can change.
         exchanges = new Exchanges<>(time, options,
