A request whose client left in a stall, before the module had heard of it, is forgotten quietly

Seen in the build's rehearsal: 'FORGOTTEN can't be TOLD': told to the module after its client had left while events were put off. Exchanges.submit now passes it over.

--- a/core/src/main/java/topazvalve/core/exchange/Exchanges.java
+++ b/core/src/main/java/topazvalve/core/exchange/Exchanges.java
@@ -152,6 +152,9 @@
             startClock(exchange);
         }
         tell(now -> {
+            if (!exchange.open()) {
+                return;  // over before the module has heard of it
+            }
             exchange.told();
             if (whole) {
                 module.request(now, request);
--- a/core/src/test/java/topazvalve/core/exchange/ExchangeModelTest.java
+++ b/core/src/test/java/topazvalve/core/exchange/ExchangeModelTest.java
@@ -35,6 +35,22 @@
         assertTrue(states.size() > 100, "something happens");
     }
 
+    /** Whatever happens to a request that came in a stall, before the module has heard of it. */
+    @ParameterizedTest
+    @EnumSource(Semantics.class)
+    void everyOrderOfEventsInAStallEndsInOneAnswer(Semantics semantics) {
+        for (boolean whole : new boolean[] {true, false}) {
+            for (String first : new Scene(semantics, whole, false, true).next()) {
+                for (String second : List.of("ring", "hangup", "heard", "drain", "stop")) {
+                    Scene scene = new Scene(semantics, whole, false, true);
+                    scene.play(first);
+                    scene.play(second);
+                    scene.settle();
+                }
+            }
+        }
+    }
+
     private void explore(Semantics semantics, boolean whole, boolean rogue, List<String> path) {
         List<String> next;
         try {
--- a/core/src/test/java/topazvalve/core/exchange/PlayTime.java
+++ b/core/src/test/java/topazvalve/core/exchange/PlayTime.java
@@ -1,5 +1,6 @@
 package topazvalve.core.exchange;
 
+import java.util.ArrayDeque;
 import java.util.PriorityQueue;
 import topazvalve.core.time.Time;
 
@@ -24,6 +25,8 @@
     }
 
     private final PriorityQueue<Ring> rings = new PriorityQueue<>();
+    private final ArrayDeque<Runnable> putOff = new ArrayDeque<>();
+    private boolean stalled;
     private long now = 1_000_000_000_000L;
     private long serial;
 
@@ -39,6 +42,32 @@
         return () -> ring.cancelled = true;
     }
 
+    @Override
+    public void whenHeard(Runnable action) {
+        if (stalled) {
+            putOff.add(action);
+        } else {
+            action.run();
+        }
+    }
+
+    /** What peers did is not heard of yet. */
+    void stall() {
+        stalled = true;
+    }
+
+    boolean stalled() {
+        return stalled;
+    }
+
+    /** All that peers did has been heard of. */
+    void heard() {
+        stalled = false;
+        while (!putOff.isEmpty()) {
+            putOff.poll().run();
+        }
+    }
+
     /** A little later. */
     void pass(long nanoseconds) {
         long until = now + nanoseconds;
--- a/core/src/test/java/topazvalve/core/exchange/Scene.java
+++ b/core/src/test/java/topazvalve/core/exchange/Scene.java
@@ -72,9 +72,15 @@
     private boolean dropped;
     private boolean retuned;
     private boolean stopped;
+    private boolean stalledBefore;
 
     /** With {@code rogue} orders may come that the module did not give, and it can't cancel. */
     Scene(Semantics semantics, boolean whole, boolean rogue) {
+        this(semantics, whole, rogue, false);
+    }
+
+    /** As above; with {@code stalled} the request is taken in a stall. */
+    Scene(Semantics semantics, boolean whole, boolean rogue, boolean stalled) {
         this.semantics = semantics;
         this.rogue = rogue;
         body = whole ? RequestBody.of(new byte[8]) : new RequestBody(budget, -1);
@@ -82,6 +88,9 @@
         exchanges = new Exchanges<>(time, options, this::module, back, 2, new Metrics(), classes);
         exchanges.start(ServerList.named(List::of, (kind, targets) -> { }),
                 List.of(target(1, State.READY), target(2, State.READY)));
+        if (stalled) {
+            time.stall();
+        }
         id = exchanges.submit(new Job<>(classes.named("one"), 0, 0, 400, 0, false, true, "ask", body),
                 new Taker());
     }
@@ -212,6 +221,11 @@
             events.add("order");
         }
         events.add("ring");
+        if (time.stalled()) {
+            events.add("heard");
+        } else if (!stalledBefore) {
+            events.add("stall");
+        }
         if (drainedAt.isEmpty()) {
             events.add("drain");
         }
@@ -278,6 +292,11 @@
             }
             case "drop" -> dropBody();
             case "ring" -> time.ringNext();
+            case "stall" -> {
+                stalledBefore = true;
+                time.stall();
+            }
+            case "heard" -> time.heard();
             case "drain" -> {
                 drainedAt.put(1L, time.now());
                 exchanges.listed(ListKind.DELTA, List.of(target(1, State.DRAINING)));
@@ -325,6 +344,7 @@
 
     /** Lets everything come to its end, and looks whether all is settled. */
     void settle() {
+        time.heard();
         if (!body.whole() && !left && finals.isEmpty()) {
             body.end();
         }
@@ -347,7 +367,7 @@
     String state() {
         StringBuilder text = new StringBuilder().append(exchanges.phases()).append(finals).append(begun)
                 .append(left).append(dropped).append(retuned).append(stopped).append(body.whole())
-                .append(drainedAt.keySet());
+                .append(drainedAt.keySet()).append(time.stalled());
         for (PlayBack.Sent each : back.sent) {
             text.append(each.server).append(each.attempt.over() ? 'o' : each.begun ? 'b'
                     : each.attempt.written() ? 'w' : 'n');
--- a/sidecar/src/test/java/topazvalve/sidecar/CrossingsTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/CrossingsTest.java
@@ -126,7 +126,8 @@
                 Bed.Client client = new Bed.Client(bed.address)) {
             Stub.write(client.socket, Bed.look("first"));
             assertEquals("first", Stub.header(Stub.next(upstream.heads), "Req-Id"));
-            Stub.write(client.socket, row(OVER_A_SHARE));
+            String behind = row(OVER_A_SHARE);
+            Stub.write(client.socket, behind);
             for (int i = 0; i < 100; i++) {
                 bed.loop.submit(() -> { }).sync();
             }
@@ -137,8 +138,8 @@
                 client.in.readNBytes(Stub.length(head));
                 answered++;
             }
-            assertTrue(answered > 1 && answered * Bed.look("row0").length() < OVER_A_SHARE,
-                    "answered: " + answered);
+            int sent = behind.split("GET ").length;
+            assertTrue(answered > 1 && answered < sent, "answered " + answered + " of " + sent);
             for (int i = 0; i < answered - 1; i++) {
                 assertEquals("row" + i, Stub.header(Stub.next(upstream.heads), "Req-Id"));
             }
