--- a/core/src/test/java/topazvalve/core/exchange/Scene.java
+++ b/core/src/test/java/topazvalve/core/exchange/Scene.java
@@ -68,12 +68,19 @@
     private int orders;
     private boolean begun;
     private boolean left;
+    private int sentUntilLeft;
     private boolean dropped;
     private boolean retuned;
     private boolean stopped;
+    private boolean stalledBefore;
 
     /** With {@code rogue} orders may come that the module did not give, and it can't cancel. */
     Scene(Semantics semantics, boolean whole, boolean rogue) {
+        this(semantics, whole, rogue, false);
+    }
+
+    /** As above; with {@code stalled} the request is taken in a stall. */
+    Scene(Semantics semantics, boolean whole, boolean rogue, boolean stalled) {
         this.semantics = semantics;
         this.rogue = rogue;
         body = whole ? RequestBody.of(new byte[8]) : new RequestBody(budget, -1);
@@ -81,6 +88,9 @@
         exchanges = new Exchanges<>(time, options, this::module, back, 2, new Metrics(), classes);
         exchanges.start(ServerList.named(List::of, (kind, targets) -> { }),
                 List.of(target(1, State.READY), target(2, State.READY)));
+        if (stalled) {
+            time.stall();
+        }
         id = exchanges.submit(new Job<>(classes.named("one"), 0, 0, 400, 0, false, true, "ask", body),
                 new Taker());
     }
@@ -211,6 +221,11 @@
             events.add("order");
         }
         events.add("ring");
+        if (time.stalled()) {
+            events.add("heard");
+        } else if (!stalledBefore) {
+            events.add("stall");
+        }
         if (drainedAt.isEmpty()) {
             events.add("drain");
         }
@@ -262,6 +277,7 @@
             case "hangup" -> {
                 left = finals.isEmpty();
                 exchanges.hangup(id);
+                sentUntilLeft = back.sent.size();
             }
             case "order" -> {
                 if (exchanges.held() > 0) {
@@ -276,6 +292,11 @@
             }
             case "drop" -> dropBody();
             case "ring" -> time.ringNext();
+            case "stall" -> {
+                stalledBefore = true;
+                time.stall();
+            }
+            case "heard" -> time.heard();
             case "drain" -> {
                 drainedAt.put(1L, time.now());
                 exchanges.listed(ListKind.DELTA, List.of(target(1, State.DRAINING)));
@@ -310,6 +331,7 @@
         assertEquals(0, exchanges.faults(), "an event was not handled");
         outcomes.forEach((number, count) -> assertEquals(1, count, "outcomes of attempt " + number));
         assertTrue(back.sent.size() <= TRIES, "more than four attempts");
+        assertTrue(!left || back.sent.size() == sentUntilLeft, "an attempt begins, its client has left");
         for (PlayBack.Sent each : back.sent) {
             assertTrue(each.readyThen, "sent to a drained server");
             assertTrue(rogue || semantics != Semantics.ONCE || !each.afterDoubt, "ran twice");
@@ -322,6 +344,7 @@
 
     /** Lets everything come to its end, and looks whether all is settled. */
     void settle() {
+        time.heard();
         if (!body.whole() && !left && finals.isEmpty()) {
             body.end();
         }
@@ -344,7 +367,7 @@
     String state() {
         StringBuilder text = new StringBuilder().append(exchanges.phases()).append(finals).append(begun)
                 .append(left).append(dropped).append(retuned).append(stopped).append(body.whole())
-                .append(drainedAt.keySet());
+                .append(drainedAt.keySet()).append(time.stalled());
         for (PlayBack.Sent each : back.sent) {
             text.append(each.server).append(each.attempt.over() ? 'o' : each.begun ? 'b'
                     : each.attempt.written() ? 'w' : 'n');
--- a/relay/src/main/java/topazvalve/relay/Relay.java
+++ b/relay/src/main/java/topazvalve/relay/Relay.java
@@ -43,10 +43,10 @@
     private static final long LINE_MS = 2_000;
     private static final long SWEEP_MS = 250;
     /**
-     * How long a caller that is ahead is held. What it has was told before it asked; a relay that has heard
-     * its source through all this time is not the one that is behind.
+     * How long a caller that is ahead is held: less than it waits, more than from one line of a source to the
+     * next. What it has was told before it asked; a relay that has heard each source since is not behind.
      */
-    private static final long PARK_MS = ListCall.SILENCE_MS;
+    private static final long PARK_MS = 2_250;
     /** Whole lists that slow callers still hold, of different versions; each is encoded once for all. */
     private static final int MOST_WHOLE = 8;
     private static final int LONGEST_HEAD = 4 << 10;
@@ -131,10 +131,6 @@
         return links.stream().anyMatch(link -> link.silentFor() <= VOUCH_NS);
     }
 
-    private boolean hearsAll() {
-        return links.stream().allMatch(link -> link.silentFor() <= VOUCH_NS);
-    }
-
     private String retryAfter() {
         return String.format(Locale.ROOT, "%.2f", 0.25 + random.nextDouble());
     }
@@ -243,7 +239,8 @@
     /** A parked caller's time is over. */
     private void settle(Caller caller) {
         Lack lack = lists.lack(caller.has());
-        boolean heard = hearsAll();
+        long parked = TimeUnit.MILLISECONDS.toNanos(PARK_MS);
+        boolean heard = links.stream().allMatch(link -> link.silentFor() < parked);
         if (lists.complete() && (lack == Lack.WHOLE || lack == Lack.AHEAD_OR_ANEW && heard)) {
             tellWhole(caller);
         } else if (lack == Lack.CHANGES) {
--- a/relay/src/main/java/topazvalve/relay/SourceLink.java
+++ b/relay/src/main/java/topazvalve/relay/SourceLink.java
@@ -91,7 +91,8 @@
                 following.asks();
                 long from = anew || version() == null ? 0 : version().rev();
                 call = new ListCall(loop, settings.addresses().get(next.place()), true, new Watch(from));
-                call.open(ListCall.CONNECT_TIMEOUT_MS, "?watch=1&from=" + from);
+                call.open(ListCall.CONNECT_TIMEOUT_MS, ListCall.LONGEST_ANSWER_MS,
+                        "?watch=1&from=" + from);
             }
         }, next.after(), TimeUnit.NANOSECONDS);
     }
@@ -109,7 +110,7 @@
         }
         fillsLeft--;
         fill = new ListCall(loop, settings.addresses().get(following.place()), true, new Fill(from));
-        fill.open(ListCall.CONNECT_TIMEOUT_MS, "?watch=1&from=" + from.rev());
+        fill.open(ListCall.CONNECT_TIMEOUT_MS, ListCall.ANSWER_MS, "?watch=1&from=" + from.rev());
         return true;
     }
 
