A test of drained streams waits until both are through

Cause: the test took the system's accepting for the stream's opening; a stream whose connection the sidecar had not yet seen come up is moved to the other server by the drain, as it should be. Now a byte goes through both first; all else is asserted as before.

--- a/tcp/src/test/java/topazvalve/tcp/ListenerTest.java
+++ b/tcp/src/test/java/topazvalve/tcp/ListenerTest.java
@@ -175,6 +175,11 @@
                         text -> text + "grace = \"400ms\"\n")) {
             try (Socket one = client(listening); Socket two = client(listening);
                     Socket servedHere = accepted(server); Socket servedThere = accepted(other)) {
+                // The system accepts before the sidecar knows of it: both are through once a byte is.
+                write(one, "x");
+                write(two, "x");
+                assertEquals("x", read(servedHere.getInputStream(), 1));
+                assertEquals("x", read(servedThere.getInputStream(), 1));
                 listening.draining(List.of(at(server)));
                 write(servedHere, "y");
                 write(servedThere, "y");
