A call to discovery that is late lets the next one begin and keeps its own place

Seen with eight packaged sidecars and a discovery that took calls and said nothing for 14 s: the first calls after its return came 3.3 to 4.0 s later (refused: 0.2 to 1.5 s, 503: 0.3 to 1.4 s). The call after one that hung had 5 s, so the last one of a long silence could cost 5 + 1.5 + 2 s. Now every call counts as failed after 2.5 s, and none is closed for it before 5 s: the next is asked beside it, and whichever is answered first is followed. A queue longer than known is borne.

--- a/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
@@ -48,12 +48,6 @@
     private String fault;
     private long heardAt = System.nanoTime();
     private long askedAnew;
-    /**
-     * What the next call's answer may take. A call lost in a cut must not hold up the next for long: news
-     * counts as told 6 s after the cut is over, and the next call may have to wait for its turn as well.
-     */
-    private long answerMs = ListCall.ANSWER_MS;
-
     /**
      * Tells {@code listener} of each answer and each failure, on the loop; {@code known} is in force now.
      * {@code pushed} is null where the module says when to follow.
@@ -208,6 +202,8 @@
         private final ListCall call;
         /** Changes up to this version came with a whole list that was asked for meanwhile. */
         private long outdated = -1;
+        /** It has not answered in time, and the next has been asked for. */
+        private boolean late;
 
         Call(boolean watching, InetSocketAddress to) {
             this.watching = watching;
@@ -217,7 +213,7 @@
         void open() {
             calls.add(this);
             String query = watching ? "?watch=1&from=" + rev : "";
-            call.open(pushed == null ? ListCall.CONNECT_TIMEOUT_MS : pushed.connectMs(), answerMs,
+            call.open(pushed == null ? ListCall.CONNECT_TIMEOUT_MS : pushed.connectMs(),
                     watching && !versions.isEmpty() ? query + "&versions=" + versions : query);
         }
 
@@ -226,14 +222,19 @@
             call.close();
         }
 
-        private void answered() {
+        /** False if nothing more is to be heard of it. */
+        private boolean answered() {
+            if (late && watching && !takesOver()) {
+                close();
+                return false;
+            }
+            late = false;
             fault = null;
-            answerMs = ListCall.ANSWER_MS;
             heardAt = System.nanoTime();
             boolean first = !call.isAnswered();
             call.answered();
             if (relays == null || !watching || !first) {
-                return;
+                return true;
             }
             if (returning == this) {
                 returning = null;
@@ -246,6 +247,19 @@
                 relays.following().answered();
                 returnLater();
             }
+            return true;
+        }
+
+        /** An answer that comes late is as good as another's, unless that one was sooner. */
+        private boolean takesOver() {
+            if (!wanted || watch != null && watch.call.isAnswered()) {
+                return false;
+            }
+            if (watch != null) {
+                watch.close();
+            }
+            watch = this;
+            return true;
         }
 
         /**
@@ -270,7 +284,26 @@
                 returnLater();
                 return;
             }
-            answerMs = call.isHung() ? ListCall.LONGEST_ANSWER_MS : ListCall.ANSWER_MS;
+            if (!late) {
+                askAgain(why, retryAfterMs);
+            }
+        }
+
+        /**
+         * A call lost in a cut must not hold up the next: news counts as told 6 s after the cut is over, and
+         * the next may have to wait for its turn as well. This one keeps its own place in discovery's queue.
+         */
+        @Override
+        public void late() {
+            if (relays != null) {
+                call.fail(ListCall.NO_ANSWER);
+            } else {
+                late = true;
+                askAgain(ListCall.NO_ANSWER, 0);
+            }
+        }
+
+        private void askAgain(String why, long retryAfterMs) {
             if (!why.equals(fault)) {
                 LOG.warn("list not taken, the one in force stays: {}", why);
             }
@@ -290,10 +323,7 @@
         @Override
         public void empty() {
             boolean first = watching && !call.isAnswered();
-            if (first || call.isAnswered()) {
-                answered();
-            }
-            if (first) {
+            if ((first || call.isAnswered()) && answered() && first) {
                 // Nothing has changed since the version known: that, too, is the watch's answer.
                 listener.listed(ListKind.DELTA, List.of());
             }
@@ -323,7 +353,9 @@
         }
 
         private void take(Listing listing) {
-            answered();
+            if (!answered()) {
+                return;
+            }
             if (watching && !listing.all() && listing.rev() <= outdated) {
                 return;
             }
