--- a/core/src/main/java/topazvalve/core/time/LoopTime.java
+++ b/core/src/main/java/topazvalve/core/time/LoopTime.java
@@ -43,6 +43,15 @@
         return () -> set.cancel(false);
     }
 
+    /**
+     * Runs this on the loop after its next look at its sockets, however late that is: who has sent something
+     * before has been heard by then, and closed channels' descriptors are released in that look.
+     */
+    public static void afterNextSelect(EventLoop loop, Runnable then) {
+        // What is scheduled from within a task runs after the next look.
+        loop.execute(() -> loop.schedule(then, 1, TimeUnit.NANOSECONDS));
+    }
+
     @Override
     public void whenHeard(Runnable action) {
         notice();
@@ -62,15 +71,10 @@
     private void notice() {
         if (watched && !hearing && System.nanoTime() - beatAt > BEAT + LATE) {
             hearing = true;
-            afterLook(() -> afterLook(this::heard));
+            afterNextSelect(loop, () -> afterNextSelect(loop, this::heard));
         }
     }
 
-    /** What is scheduled from within a task runs after the loop's next look at its sockets, however late. */
-    private void afterLook(Runnable action) {
-        loop.execute(() -> loop.schedule(action, 1, TimeUnit.NANOSECONDS));
-    }
-
     private void heard() {
         hearing = false;
         while (!putOff.isEmpty()) {
--- a/sidecar/src/main/java/topazvalve/sidecar/front/ClientConnection.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/ClientConnection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
@@ -27,7 +26,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.ArrayDeque;
-import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import topazvalve.core.exchange.Client;
@@ -39,6 +37,7 @@
 import topazvalve.core.stream.ByteBudget;
 import topazvalve.core.stream.RequestBody;
 import topazvalve.core.stream.Source;
+import topazvalve.core.time.LoopTime;
 
 /** One client's connection: one request at a time, each answered once. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject>
@@ -121,9 +120,8 @@
         since = System.nanoTime();
     }
 
-    /** The stage, with a new connection that has been silent for long told from one just made. */
-    Stage spare(long now) {
-        return StageTimes.silent(stage, now - since) ? Stage.SILENT : stage;
+    Stage stage() {
+        return stage;
     }
 
     void checkTime(long now) {
@@ -224,9 +222,7 @@
             }
             last.release();
         };
-        // What is scheduled from within a task runs after the loop's next look at its sockets, however late.
-        EventLoop loop = channel.eventLoop();
-        loop.execute(() -> loop.schedule(goOn, 1, TimeUnit.NANOSECONDS));
+        LoopTime.afterNextSelect(channel.eventLoop(), goOn);
     }
 
     /** There is room for more of the body. */
@@ -295,6 +291,7 @@
         Job<Message> taken = job.within(lifecycle.longestWait());
         job = null;
         enter(Stage.ASKED);
+        owner.requestChanged();
         long number = intake.submit(taken, this);
         // The answer may have come within that call.
         if (stage == Stage.ASKED) {
@@ -402,6 +399,7 @@
         }
         written.addListener(done -> {
             enter(Stage.IDLE);
+            owner.requestChanged();
             // Not from within this call: a row of requests would nest as deep as it is long.
             channel.eventLoop().execute(this::proceed);
         });
--- a/sidecar/src/main/java/topazvalve/sidecar/front/StageTimes.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/front/StageTimes.java
@@ -10,18 +10,11 @@
     private static final long TAKE = 15_000_000_000L;
     /** After an error is told: a close with bytes unread would reset the connection and lose the error. */
     private static final long LINGER = 1_000_000_000L;
-    /** A new connection's request comes at once; one that is silent for longer makes room first. */
-    private static final long SILENT = 100_000_000;
     /** A connection made while the sidecar empties is given so long for its request. */
     private static final long FIRST = 300_000_000;
 
     private StageTimes() { }
 
-    /** Whether a new connection has said nothing for long. */
-    static boolean silent(Stage stage, long age) {
-        return stage == Stage.NEW && age > SILENT;
-    }
-
     /** Whether a connection that a sidecar which ends may close has waited long enough for its request. */
     static boolean unusedForLong(Stage stage, long age) {
         return stage.compareTo(Stage.READING) < 0 && stage != Stage.LINGERING && age > FIRST;
