--- a/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
@@ -17,6 +17,7 @@
 import topazvalve.sidecar.admin.AdminServer;
 import topazvalve.sidecar.config.Config;
 import topazvalve.core.lifecycle.Lifecycle;
+import topazvalve.sidecar.front.Frontend;
 import topazvalve.sidecar.listen.ClientListener;
 import topazvalve.tcp.TcpSettings;
 import topazvalve.core.metrics.Metrics;
@@ -43,23 +44,29 @@
     private final Runnable whenReady;
     private final Lifecycle lifecycle = new Lifecycle();
     private final Metrics metrics = new Metrics();
+    /** How many take clients from one socket while one takes over from the other. */
+    private final int processes;
     private final HttpSide http;
     private final Streams streams = new Streams();
     /** What all fronts may hold of bodies and streams. */
     private final ByteBudget budget;
     private volatile List<TcpSettings> listeners;
+    private final List<InetSocketAddress> relays;
 
     Sidecar(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config, ClientListener clients,
-            List<TcpSettings> listeners, Runnable whenReady) {
+            OperatorFile operator, Runnable whenReady) {
         this.group = group;
         this.loop = loop;
         this.config = config;
         this.clients = clients;
         this.whenReady = whenReady;
-        this.listeners = listeners;
+        this.listeners = operator.listeners();
+        this.relays = operator.relays();
         this.budget = new ByteBudget(config.bodyBytes());
-        this.http = new HttpSide(loop, config, config.sockets() / 2, config.mostClients(), metrics,
-                lifecycle, budget);
+        // Two processes on one socket count as one sidecar: together they keep no more idle clients than one.
+        this.processes = clients.shared() ? 2 : 1;
+        this.http = new HttpSide(loop, config, config.sockets() / 2, config.mostClients() / processes,
+                metrics, lifecycle, budget, relays);
     }
 
     void start() {
@@ -81,15 +88,22 @@
         if (clients.shared()) {
             warmUp.end(door, () -> {
                 if (!lifecycle.emptying()) {
-                    onceOpen(clients.open(group, http.front().connections()), "listen", at -> ready());
+                    onceOpen(openClients(), "listen", at -> ready());
                 }
             });
         } else {
-            onceOpen(clients.open(group, http.front().connections()), "listen",
-                    at -> warmUp.end(at, this::ready));
+            onceOpen(openClients(), "listen", at -> warmUp.end(at, this::ready));
         }
     }
 
+    private ChannelFuture openClients() {
+        Frontend front = http.front();
+        int share = config.clientDescriptors();
+        int spare = (share - config.mostClients()) / processes;
+        front.whenMoreAreHeld(clients::resume);
+        return clients.open(group, front.connections(), () -> Math.min(share, front.mostHeld() + spare));
+    }
+
     /** A sidecar that can't listen is of no use: it ends, so that whoever started it sees so. */
     private static void onceOpen(ChannelFuture opened, String key, Consumer<InetSocketAddress> next) {
         opened.addListener(done -> {
@@ -105,6 +119,7 @@
     private String figures() {
         StringBuilder text = new StringBuilder(metrics.text(http.exchanges()));
         streams.print(text);
+        http.print(text);
         return text.toString();
     }
 
@@ -119,14 +134,14 @@
     void reload(Path file, Path operator) {
         try {
             Config read = Config.read(file);
-            List<TcpSettings> next = Streams.read(operator);
+            OperatorFile next = OperatorFile.read(operator);
             loop.execute(() -> take(read, next));
         } catch (IllegalArgumentException | IOException e) {
             loop.execute(() -> turnDown(e));
         }
     }
 
-    private void take(Config read, List<TcpSettings> next) {
+    private void take(Config read, OperatorFile next) {
         try {
             read.requireFit(config);
         } catch (IllegalArgumentException e) {
@@ -135,8 +150,11 @@
         }
         http.reconfigure(read);
         config = read;
-        streams.retune(next);
-        listeners = next;
+        streams.retune(next.listeners());
+        listeners = next.listeners();
+        if (!next.relays().equals(relays)) {
+            LOG.warn("relays stay as they are until a restart");
+        }
         metrics.configApplied();
         LOG.info("new configuration taken: classes {}, attempts {}", read.options().names("profiles"),
                 read.options().settings().allowed().tryLimit());
