A call that a relay holds is not given up before its time; relays keep their place at a source

Need: calls count as late after 2.5 s since the last merge; a relay holds a call that is ahead of it for 2.25 s, so that on a slow link every relay would be left just before its answer. With relays a late call is let be, and fails after 5 s as before; a relay with one address for its source keeps its place in the source's queue.

--- a/relay/src/main/java/topazvalve/relay/SourceLink.java
+++ b/relay/src/main/java/topazvalve/relay/SourceLink.java
@@ -91,8 +91,7 @@
                 following.asks();
                 long from = anew || version() == null ? 0 : version().rev();
                 call = new ListCall(loop, settings.addresses().get(next.place()), true, new Watch(from));
-                call.open(ListCall.CONNECT_TIMEOUT_MS, ListCall.LONGEST_ANSWER_MS,
-                        "?watch=1&from=" + from);
+                call.open(ListCall.CONNECT_TIMEOUT_MS, "?watch=1&from=" + from);
             }
         }, next.after(), TimeUnit.NANOSECONDS);
     }
@@ -110,7 +109,7 @@
         }
         fillsLeft--;
         fill = new ListCall(loop, settings.addresses().get(following.place()), true, new Fill(from));
-        fill.open(ListCall.CONNECT_TIMEOUT_MS, ListCall.ANSWER_MS, "?watch=1&from=" + from.rev());
+        fill.open(ListCall.CONNECT_TIMEOUT_MS, "?watch=1&from=" + from.rev());
         return true;
     }
 
@@ -183,6 +182,14 @@
             }
         }
 
+        @Override
+        public void late() {
+            // Its place in the source's queue is worth more than a new one, unless there is another to ask.
+            if (settings.addresses().size() > 1) {
+                call.fail("no whole answer in time");
+            }
+        }
+
         @Override
         public void silent() {
             call.fail("no whole line for " + ListCall.SILENCE_MS + " ms");
@@ -235,9 +242,14 @@
             take(new Update(version(), false, List.of()));
         }
 
+        @Override
+        public void late() {
+            fill.fail("no answer in time");
+        }
+
         @Override
         public void silent() {
-            fill.fail("no answer");
+            fill.fail("no answer in time");
         }
 
         @Override
--- a/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/Discovery.java
@@ -297,9 +297,8 @@
          */
         @Override
         public void late() {
-            if (relays != null) {
-                call.fail(ListCall.NO_ANSWER);
-            } else {
+            // A relay may hold a call for a while, and has no queue: its call fails later on.
+            if (relays == null) {
                 late = true;
                 askAgain(ListCall.NO_ANSWER, 0);
             }
