Lines with their bends, and the table need / allowed / ratio at the plan's size

Need: slopes have to be put into the plan's sizes by one rule, with a word on what each figure rests on. Change: packages fit (commons-math's SimpleRegression; two lines that leave under a fifth of one's squares and differ in slope by three tenths are a bend, and what is above it goes by the upper line) and need (events of the plan, arithmetic for each role without and with a tier of relays; a relay without slopes of its own is reckoned by the source's).

--- /dev/null
+++ b/capacity/src/main/java/topazvalve/capacity/need/Figure.java
@@ -0,0 +1,37 @@
+package topazvalve.capacity.need;
+
+/**
+ * A value and what it rests on.
+ *
+ * @param from the slopes that it was read off, joined by {@code +}; "plan" for arithmetic on the plan alone
+ */
+public record Figure(double value, Origin origin, String from) {
+    private static final String PLAN = "plan";
+
+    /** Arithmetic on the plan's figures alone. */
+    static Figure reckoned(double value) {
+        return new Figure(value, Origin.RECKONED, PLAN);
+    }
+
+    /** As often; a measured figure taken several times is reckoned from it. */
+    Figure times(double factor) {
+        return new Figure(value * factor, factor == 1 ? origin : Origin.RECKONED, from);
+    }
+
+    /** The same figure in another unit: {@code factor} of these make one of those. */
+    Figure per(double factor) {
+        return new Figure(value / factor, origin, from);
+    }
+
+    /** Both together. */
+    Figure plus(Figure other) {
+        String joined = from.equals(other.from) || other.from.equals(PLAN) ? from
+                : from.equals(PLAN) ? other.from : from + "+" + other.from;
+        return new Figure(value + other.value, Origin.RECKONED, joined);
+    }
+
+    /** Rests on no run as a whole, whatever its parts rest on. */
+    Figure asReckoned() {
+        return new Figure(value, Origin.RECKONED, from);
+    }
+}
--- /dev/null
+++ b/capacity/src/main/java/topazvalve/capacity/need/NeedTable.java
@@ -0,0 +1,47 @@
+package topazvalve.capacity.need;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+
+/** The table that a measurement ends with. */
+public record NeedTable(List<Need> needs) {
+
+    public NeedTable {
+        needs = List.copyOf(needs);
+    }
+
+    /** Those over their budget, the furthest first. */
+    public List<Need> over() {
+        return needs.stream().filter(Need::over).sorted(Comparator.comparingDouble(Need::ratio).reversed())
+                .toList();
+    }
+
+    /** Whether every ratio of this tier is 1 or less. */
+    public boolean kept(Need.Tier tier) {
+        return needs.stream().noneMatch(each -> each.tier() == tier && each.over());
+    }
+
+    /** As Markdown, one line for each need of a tier. */
+    public List<String> lines(Need.Tier tier) {
+        List<String> body = needs.stream().filter(each -> each.tier() == tier).map(NeedTable::line).toList();
+        return java.util.stream.Stream.concat(List.of(
+                "| role | when | what | need | allowed | ratio | how | from |",
+                "| --- | --- | --- | --- | --- | --- | --- | --- |").stream(), body.stream()).toList();
+    }
+
+    private static String line(Need need) {
+        return "| " + String.join(" | ", need.role(), need.when(), need.what(),
+                text(need.need().value()) + " " + need.unit(), text(need.allowed()) + " " + need.unit(),
+                (need.over() ? "**" : "") + text(need.ratio()) + (need.over() ? "**" : ""),
+                need.need().origin().word(), need.need().from()) + " |";
+    }
+
+    /** Three figures that count, or whole numbers with separators from a thousand on. */
+    static String text(double value) {
+        double size = Math.abs(value);
+        String form = size >= 1000 ? "%,.0f" : size >= 100 ? "%.0f" : size >= 10 ? "%.1f" : size >= 1 ? "%.2f"
+                : size >= 0.0005 || size == 0 ? "%.3f" : "%.1e";
+        return String.format(Locale.ROOT, form, value);
+    }
+}
--- /dev/null
+++ b/capacity/src/main/java/topazvalve/capacity/need/Quantity.java
@@ -0,0 +1,61 @@
+package topazvalve.capacity.need;
+
+/** What is measured at several sizes; {@code per} is the size, {@code unit} that of the value. */
+public enum Quantity {
+    SIDECAR_HEAP("sidecar, live heap", "server listed", "MiB"),
+    SIDECAR_RESIDENT("sidecar, resident", "server listed", "MiB"),
+    SIDECAR_START("sidecar, start until the list is in force", "server listed", "s"),
+    SIDECAR_START_CPU("sidecar, CPU of a start", "server listed", "s"),
+    LIST_BYTES("a whole list on the wire", "server listed", "B"),
+    LIST_TIME("sidecar, a whole list until in force", "server listed", "ms"),
+    LIST_CPU("sidecar, CPU of a whole list", "server listed", "ms"),
+    CHANGE_TIME("sidecar, a change until in force", "server listed", "ms"),
+    CHANGE_CPU("sidecar, CPU of a change", "server listed", "ms"),
+    SIDECAR_REST_CPU("sidecar, CPU at rest with a watch", "server listed", "% of a core"),
+    CHANGE_BYTES("a change told on a watch", "entry changed", "B"),
+    SOURCE_REST_CPU("source, CPU at rest", "watch held", "% of a core"),
+    SOURCE_MEMORY("source, resident", "watch held", "MiB"),
+    SOURCE_REST_BYTES("source, bytes at rest", "watch held", "B/s"),
+    SOURCE_CHANGE_TIME("source, a change until the last watch has it", "watch held", "ms"),
+    SOURCE_CHANGE_CPU("source, CPU of a change", "watch held", "ms"),
+    SOURCE_LISTS_TIME("source, whole lists at once, last", "call", "s"),
+    SOURCE_LISTS_CPU("source, CPU of whole lists at once", "call", "s"),
+    BOUND_LISTS_TIME("bounded source, whole lists at once, last", "call", "s"),
+    BOUND_LISTS_CALLS("bounded source, calls until all have a list", "call", "calls"),
+    RELAY_REST_CPU("relay, CPU at rest", "watch held", "% of a core"),
+    RELAY_MEMORY("relay, resident", "watch held", "MiB"),
+    RELAY_CHANGE_TIME("relay, a change until the last watch has it", "watch held", "ms"),
+    RELAY_CHANGE_CPU("relay, CPU of a change", "watch held", "ms"),
+    RELAY_LISTS_TIME("relay, whole lists at once, last", "call", "s"),
+    RELAY_LISTS_CPU("relay, CPU of whole lists at once", "call", "s"),
+    CALL_CPU("sidecar, CPU of calls", "call/s", "% of a core"),
+    CALL_ADDED_P50("delay added to a call, p50", "call/s", "ms"),
+    CALL_ADDED_P99("delay added to a call, p99", "call/s", "ms"),
+    CALL_ADDED_P999("delay added to a call, p99.9", "call/s", "ms"),
+    CONNECTIONS_PER_CALL("new connections for a call", "call/s and pair", "");
+
+    private final String label;
+    private final String per;
+    private final String unit;
+
+    Quantity(String label, String per, String unit) {
+        this.label = label;
+        this.per = per;
+        this.unit = unit;
+    }
+
+    /** In words. */
+    public String label() {
+        return label;
+    }
+
+    /** What it is measured by. */
+    public String per() {
+        return per;
+    }
+
+    /** The value's unit; empty for a bare number. */
+    public String unit() {
+        return unit;
+    }
+}
--- /dev/null
+++ b/capacity/src/test/java/topazvalve/capacity/WallsTest.java
@@ -0,0 +1,29 @@
+package topazvalve.capacity;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Plan, fit and table are arithmetic: they know neither clock nor socket nor process. */
+class WallsTest {
+    private static final JavaClasses CAPACITY = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("topazvalve.capacity");
+
+    @Test
+    void arithmeticMeasuresNothing() {
+        noClasses().that().resideInAnyPackage("..capacity.plan..", "..capacity.fit..", "..capacity.need..")
+                .should().dependOnClassesThat()
+                .resideInAnyPackage("io.netty..", "java.net..", "..capacity.measure..")
+                .orShould().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis").check(CAPACITY);
+    }
+
+    @Test
+    void packagesHaveNoCycles() {
+        slices().matching("topazvalve.capacity.(*)..").should().beFreeOfCycles().check(CAPACITY);
+    }
+}
--- /dev/null
+++ b/capacity/src/test/java/topazvalve/capacity/need/NeedsTest.java
@@ -0,0 +1,147 @@
+package topazvalve.capacity.need;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import topazvalve.capacity.fit.Fit;
+import topazvalve.capacity.fit.Point;
+import topazvalve.capacity.need.Need.Tier;
+import topazvalve.capacity.plan.Plan;
+import topazvalve.capacity.plan.PlanFile;
+
+/** The table's arithmetic on made-up slopes, each a round number. */
+class NeedsTest {
+    private final Slopes slopes = new Slopes();
+    private Plan plan;
+
+    private void line(Quantity quantity, double intercept, double slope, double... sizes) {
+        List<Point> points = new ArrayList<>();
+        for (double each : sizes) {
+            points.add(new Point(each, intercept + slope * each));
+        }
+        slopes.put(quantity, Fit.of(points));
+    }
+
+    @BeforeEach
+    void madeUp() throws IOException {
+        plan = PlanFile.read(Path.of("../world/capacity/plan.toml"));
+        for (Quantity each : Quantity.values()) {
+            if (!each.name().startsWith("RELAY")) {
+                line(each, 0, 0, 1, 1_000, 6_000);
+            }
+        }
+        line(Quantity.SIDECAR_RESIDENT, 100, 0.01, 100, 1_500, 5_700);
+        line(Quantity.LIST_BYTES, 0, 150, 100, 1_500, 5_700);
+        line(Quantity.CHANGE_BYTES, 0, 200, 1, 10, 100);
+        line(Quantity.SOURCE_REST_BYTES, 3, 0, 1, 100, 1_000);
+        line(Quantity.SOURCE_MEMORY, 50, 0.1, 100, 356, 1_000);
+    }
+
+    private Need find(Tier tier, String role, String when, String what) {
+        List<Need> found = Needs.of(plan, slopes).needs().stream().filter(each -> each.tier() == tier
+                && each.role().equals(role) && each.when().startsWith(when) && each.what().equals(what))
+                .toList();
+        assertEquals(1, found.size(), found.toString());
+        return found.get(0);
+    }
+
+    @Test
+    void theSidecarsMemoryIsReadOffItsLine() {
+        Need need = find(Tier.BEFORE, "sidecar", "ordinary", "memory");
+        assertEquals(157, need.need().value(), 1e-9);
+        assertEquals(256, need.allowed());
+        assertEquals(Origin.MEASURED, need.need().origin());
+        assertEquals("sidecar_resident", need.need().from());
+        assertFalse(need.over());
+    }
+
+    @Test
+    void beyondTheSizesMeasuredItIsSaidToBeExtended() {
+        assertEquals(Origin.EXTENDED, find(Tier.BEFORE, "serves lists", "ordinary", "memory").need()
+                .origin());
+        assertEquals(50 + 570, find(Tier.BEFORE, "serves lists", "ordinary", "memory").need().value(), 1e-9);
+    }
+
+    @Test
+    void relaysWithoutASlopeOfTheirOwnAreReckonedByTheSources() {
+        Need need = find(Tier.AFTER, "serves lists", "ordinary", "memory");
+        assertEquals(Origin.RECKONED, need.need().origin());
+        assertEquals("source_memory", need.need().from());
+        assertEquals(50 + 35.7, need.need().value(), 1e-9);
+        line(Quantity.RELAY_MEMORY, 70, 0.2, 100, 356, 1_000);
+        need = find(Tier.AFTER, "serves lists", "ordinary", "memory");
+        assertEquals(Origin.MEASURED, need.need().origin());
+        assertEquals("relay_memory", need.need().from());
+        assertEquals(70 + 71.4, need.need().value(), 1e-9);
+    }
+
+    @Test
+    void theOneSourceTakesHalfAnHourToAnswerAllOfThem() {
+        Need need = find(Tier.BEFORE, "takes changes", "all that serve", "until the last has it");
+        assertEquals(1_900, need.need().value(), 1e-9);
+        assertEquals(1_900 / 9.0, need.ratio(), 1e-9);
+        assertTrue(need.over());
+        assertFalse(Needs.of(plan, slopes).kept(Tier.BEFORE));
+        need = find(Tier.AFTER, "serves lists", "all that serve", "until the last has it");
+        assertEquals(16 / 3.0, need.need().value(), 1e-9);
+        assertFalse(need.over());
+    }
+
+    @Test
+    void aWholeListCountsInTheTimeInWhichItHasToBeInForce() {
+        Need need = find(Tier.AFTER, "sidecar", "restart of", "bytes");
+        assertEquals(3 + (1_050 * 200 + 5_700 * 150) / 9.0, need.need().value(), 1e-6);
+        assertEquals(6_000, need.allowed());
+        assertTrue(need.over());
+        assertEquals(3 + 440 * 200 / 9.0, find(Tier.AFTER, "sidecar", "a zone of 440 lost", "bytes").need()
+                .value(), 1e-6);
+    }
+
+    @Test
+    void halfOfTheControlMachinesLeaveTheirWatchesToTheOthers() {
+        Need need = find(Tier.AFTER, "serves lists", "8 of 16", "memory");
+        assertEquals(50 + 71.3, need.need().value(), 1e-9);
+        assertTrue(Needs.of(plan, slopes).needs().stream().noneMatch(each -> each.tier() == Tier.BEFORE
+                && each.when().startsWith("8 of 16")));
+    }
+
+    @Test
+    void whereNothingCostsAnythingEveryBudgetOfRelaysIsKeptAndOneSlopeBreaksIt() {
+        line(Quantity.LIST_BYTES, 0, 0, 100, 1_500, 5_700);
+        line(Quantity.CHANGE_BYTES, 0, 0, 1, 10, 100);
+        NeedTable kept = Needs.of(plan, slopes);
+        assertTrue(kept.kept(Tier.AFTER), kept.over().toString());
+        line(Quantity.CHANGE_TIME, 9_001, 0, 100, 1_500, 5_700);
+        NeedTable broken = Needs.of(plan, slopes);
+        assertFalse(broken.kept(Tier.AFTER));
+        assertTrue(broken.over().stream().anyMatch(each -> each.what().equals("a change, to the last")));
+    }
+
+    @Test
+    void theTableSaysWhatIsOverTheFurthestFirst() {
+        List<Need> over = Needs.of(plan, slopes).over();
+        assertTrue(over.size() > 1);
+        for (int i = 1; i < over.size(); i++) {
+            assertTrue(over.get(i - 1).ratio() >= over.get(i).ratio());
+        }
+        List<String> lines = Needs.of(plan, slopes).lines(Tier.BEFORE);
+        assertTrue(lines.stream().anyMatch(each -> each.equals("| sidecar | ordinary day | memory | 157 MiB "
+                + "| 256 MiB | 0.613 | measured | sidecar_resident |")), String.join("\n", lines));
+        assertTrue(lines.stream().anyMatch(each -> each.contains("1,900 s | 9.00 s | **211**")),
+                String.join("\n", lines));
+    }
+
+    @Test
+    void whatWasNotMeasuredIsNotGuessed() {
+        assertTrue(assertThrows(IllegalStateException.class, () -> Needs.of(plan, new Slopes())).getMessage()
+                .startsWith("not measured: "));
+    }
+}
