--- a/capacity/src/main/java/topazvalve/capacity/need/Figure.java
+++ b/capacity/src/main/java/topazvalve/capacity/need/Figure.java
@@ -1,5 +1,9 @@
 package topazvalve.capacity.need;
 
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
 /**
  * A value and what it rests on.
  *
@@ -25,9 +29,23 @@
 
     /** Both together. */
     Figure plus(Figure other) {
-        String joined = from.equals(other.from) || other.from.equals(PLAN) ? from
-                : from.equals(PLAN) ? other.from : from + "+" + other.from;
-        return new Figure(value + other.value, Origin.RECKONED, joined);
+        return new Figure(value + other.value, Origin.RECKONED, joined(other));
+    }
+
+    /** What takes longer of two that go on side by side. */
+    Figure orMore(Figure other) {
+        return new Figure(Math.max(value, other.value), Origin.RECKONED, joined(other));
+    }
+
+    /** Each slope once; one that gives nothing here is left out. */
+    private String joined(Figure other) {
+        Set<String> slopes = new LinkedHashSet<>();
+        for (Figure each : List.of(this, other)) {
+            if (each.value != 0 && !each.from.equals(PLAN)) {
+                slopes.addAll(List.of(each.from.split("\\+")));
+            }
+        }
+        return slopes.isEmpty() ? PLAN : String.join("+", slopes);
     }
 
     /** Rests on no run as a whole, whatever its parts rest on. */
--- a/capacity/src/main/java/topazvalve/capacity/need/NeedTable.java
+++ b/capacity/src/main/java/topazvalve/capacity/need/NeedTable.java
@@ -17,6 +17,16 @@
                 .toList();
     }
 
+    /** What belongs to one tier alone. */
+    public NeedTable of(Need.Tier tier) {
+        return new NeedTable(needs.stream().filter(each -> each.tier() == tier).toList());
+    }
+
+    /** The tiers that have a line. */
+    public List<Need.Tier> tiers() {
+        return needs.stream().map(Need::tier).distinct().toList();
+    }
+
     /** Whether every ratio of this tier is 1 or less. */
     public boolean kept(Need.Tier tier) {
         return needs.stream().noneMatch(each -> each.tier() == tier && each.over());
--- a/capacity/src/main/java/topazvalve/capacity/need/Needs.java
+++ b/capacity/src/main/java/topazvalve/capacity/need/Needs.java
@@ -144,7 +144,7 @@
         Figure out = at(Quantity.LIST_BYTES, servers).times(listsEach / window)
                 .plus(changeBytes(event.missed() * resumesEach / window));
         serving(tier, event.name(), watches, out, listCpu, event.changes() / window);
-        add(tier, before || event.calls() == 0 ? TAKES : SERVES, event.name(), "until the last has it", "s",
+        add(tier, event.calls() == 0 ? TAKES : SERVES, event.name(), "until the last has it", "s",
                 untilLast(tier, event, listsEach, watches), window);
         double calls = before ? event.calls() : event.relayCalls();
         add(tier, SOURCE, event.name(), "calls", "1/s", Figure.reckoned(calls / window), sourceCalls());
@@ -165,7 +165,7 @@
 
     /**
      * Calls wait for their turn at the source; relays answer as measured. Changes are passed on one after the
-     * other by who serves, and taken one after the other by each sidecar.
+     * other by who serves while sidecars take them one after the other: what takes longer counts.
      */
     private Figure untilLast(Tier tier, Event event, int listsEach, int watches) {
         Figure time = Figure.reckoned((tier == Tier.BEFORE ? event.calls() : event.relayCalls())
@@ -179,7 +179,7 @@
         }
         if (event.changes() > 0) {
             Figure each = served(tier, Quantity.SOURCE_CHANGE_CPU, Quantity.RELAY_CHANGE_CPU, watches)
-                    .plus(at(Quantity.CHANGE_CPU, servers));
+                    .orMore(at(Quantity.CHANGE_CPU, servers));
             time = time.plus(each.times(event.changes() / MS)).plus(changeInForce(tier, watches));
         }
         return time;
--- a/command/src/main/java/topazvalve/command/Measure.java
+++ b/command/src/main/java/topazvalve/command/Measure.java
@@ -17,8 +17,10 @@
 
 /** Measures the packaged sidecar on this machine. */
 @Command(name = "measure",
-        description = "Measures the packaged sidecar: the rate it carries, the time it takes to start.",
-        synopsisSubcommandLabel = "rate|start", subcommands = {Measure.Rate.class, Measure.Start.class})
+        description = "Measures the packaged sidecar: the rate it carries, the time it takes to start, "
+        + "what the planned size needs.",
+        synopsisSubcommandLabel = "rate|start|capacity",
+        subcommands = {Measure.Rate.class, Measure.Start.class, Capacity.class})
 final class Measure implements Runnable {
     @Spec
     private CommandSpec spec;
--- /dev/null
+++ b/command/src/test/java/topazvalve/command/CapacityTest.java
@@ -0,0 +1,60 @@
+package topazvalve.command;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import topazvalve.capacity.need.Figure;
+import topazvalve.capacity.need.Need;
+import topazvalve.capacity.need.Need.Tier;
+import topazvalve.capacity.need.NeedTable;
+import topazvalve.capacity.need.Origin;
+import topazvalve.capacity.plan.Plan;
+import topazvalve.capacity.plan.PlanFile;
+
+/** What the verb prints and ends with, on made-up figures; nothing is measured here. */
+class CapacityTest {
+    private static final Path PLAN = Path.of("../world/capacity/plan.toml");
+
+    private static Need need(Tier tier, double value) {
+        return new Need(tier, "sidecar", "ordinary day", "memory", "MiB",
+                new Figure(value, Origin.MEASURED, "sidecar_resident"), 256);
+    }
+
+    private static int print(StringWriter out, Need... needs) throws IOException {
+        Plan plan = PlanFile.read(PLAN);
+        return Capacity.print(new NeedTable(List.of(needs)), plan, new PrintWriter(out));
+    }
+
+    @Test
+    void whereEveryBudgetIsKeptItEndsWithNought() throws IOException {
+        StringWriter out = new StringWriter();
+        assertEquals(0, print(out, need(Tier.BEFORE, 100), need(Tier.AFTER, 256)));
+        assertTrue(out.toString().contains("every budget is kept"), out.toString());
+        assertTrue(out.toString().contains("| 1.00 | measured |"), out.toString());
+    }
+
+    @Test
+    void oneBudgetOverEndsWithOneAndIsNamed() throws IOException {
+        StringWriter out = new StringWriter();
+        assertEquals(1, print(out, need(Tier.BEFORE, 100), need(Tier.AFTER, 257)));
+        assertTrue(out.toString().contains("after: sidecar, ordinary day, memory: 1.00 times"),
+                out.toString());
+        assertTrue(out.toString().contains("1 budgets are not kept"), out.toString());
+    }
+
+    @Test
+    void aPlanWithAWrongKeyEndsWithTwoBeforeAnythingIsMeasured(@TempDir Path folder) throws IOException {
+        Path file = folder.resolve("plan.toml");
+        Files.writeString(file, Files.readString(PLAN).replace("restarted_together", "restart_together"));
+        assertEquals(2, Main.run("measure", "capacity", file.toString()));
+        assertEquals(2, Main.run("measure", "capacity", folder.resolve("none.toml").toString()));
+    }
+}
