measure capacity: a relay is measured by the same rows once it is built here

Need: slopes of the tier between source and sidecars, by the same rows as the source's, without a dependency on it. Change: watches, changes and whole lists are rows of a role; the role relay starts the packaged relay, if there is one, behind a stand-in source; else the table reckons it by the source's slopes and says so. Tests: all of capacity and CapacityTest passed. Not run against a relay yet.

--- a/capacity/src/main/java/topazvalve/capacity/measure/CapacityMeasurement.java
+++ b/capacity/src/main/java/topazvalve/capacity/measure/CapacityMeasurement.java
@@ -28,7 +28,7 @@
         Points points = new Points(say);
         say.accept(machine(quick));
         new ListMeasurement(plan, home, folder, quick, points).run();
-        new ServingMeasurement(plan, quick, points).run();
+        new ServingMeasurement(plan, home, folder, quick, points).run();
         new CallMeasurement(plan, home, folder, quick, points).run();
         ConnectionMeasurement.run(home.resolve("world/capacity/connections.toml"), quick, points);
         Slopes slopes = points.fit();
--- a/capacity/src/main/java/topazvalve/capacity/need/Needs.java
+++ b/capacity/src/main/java/topazvalve/capacity/need/Needs.java
@@ -126,7 +126,8 @@
     /** From the source's telling until the last sidecar has it in force, in seconds. */
     private Figure changeInForce(Tier tier, int watches) {
         Figure last = served(tier, Quantity.SOURCE_CHANGE_TIME, Quantity.RELAY_CHANGE_TIME, watches);
-        Figure hop = tier == Tier.BEFORE ? Figure.reckoned(0)
+        // A relay's own time begins at its source's telling.
+        Figure hop = tier == Tier.BEFORE || slopes.has(Quantity.RELAY_CHANGE_TIME) ? Figure.reckoned(0)
                 : at(Quantity.SOURCE_CHANGE_TIME, plan.budget().control().machines());
         return hop.plus(last).plus(at(Quantity.CHANGE_TIME, servers)).per(MS);
     }
