A bend needs four points; a change's bytes are those of a line of its own

Change: no bend of fewer than four points; changes one by one and one line of many are two quantities. Seconds since the beginning are said with each part. Tests: FitTest has one more; all of capacity passed.

--- a/capacity/src/main/java/topazvalve/capacity/fit/Fit.java
+++ b/capacity/src/main/java/topazvalve/capacity/fit/Fit.java
@@ -17,6 +17,8 @@
     private static final double MISS_PERCENT = 10;
     /** Two lines have to leave less than this part of the squares that one leaves. */
     private static final double FAR_LESS = 0.2;
+    /** With fewer points than these two lines always fit, and say nothing. */
+    private static final int POINTS_FOR_BEND = 4;
     /** Slopes of a bend differ by this part of the steeper one at least. */
     private static final double DIFFER = 0.3;
 
@@ -34,7 +36,8 @@
         double worst = points.stream().mapToDouble(each -> Math.abs(each.y() - line.at(each.x()))).max()
                 .orElseThrow();
         double percent = largest == 0 ? 0 : 100 * worst / largest;
-        return new Fit(points, line, percent, percent > MISS_PERCENT ? bend(points, line) : Optional.empty());
+        return new Fit(points, line, percent, percent > MISS_PERCENT && points.size() >= POINTS_FOR_BEND
+                ? bend(points, line) : Optional.empty());
     }
 
     private static Optional<Bend> bend(List<Point> points, Line one) {
--- a/capacity/src/main/java/topazvalve/capacity/measure/CallMeasurement.java
+++ b/capacity/src/main/java/topazvalve/capacity/measure/CallMeasurement.java
@@ -50,7 +50,7 @@
     }
 
     void run() throws IOException, InterruptedException {
-        points.say("packaged sidecar on core " + CORE + ", calls direct and through it in turn");
+        points.part("packaged sidecar on core " + CORE + ", calls direct and through it in turn");
         List<EchoServer> echoes = new ArrayList<>();
         ObjectNode known = new ObjectMapper().createObjectNode().put("rev", 1).put("all", true);
         ArrayNode targets = known.putArray("targets");
--- a/capacity/src/main/java/topazvalve/capacity/measure/ConnectionMeasurement.java
+++ b/capacity/src/main/java/topazvalve/capacity/measure/ConnectionMeasurement.java
@@ -22,7 +22,7 @@
     private ConnectionMeasurement() { }
 
     static void run(Path file, boolean quick, Points points) throws IOException {
-        points.say("virtual time, " + file.getFileName());
+        points.part("virtual time, " + file.getFileName());
         Scenario scenario = ScenarioFile.read(file);
         for (int i = 0; i < PAIRS.length - (quick ? 1 : 0); i++) {
             points.add(Quantity.CONNECTIONS_PER_CALL, PAIRS[i], perCall(scenario, PAIRS[i]));
--- a/capacity/src/main/java/topazvalve/capacity/measure/ListMeasurement.java
+++ b/capacity/src/main/java/topazvalve/capacity/measure/ListMeasurement.java
@@ -46,11 +46,11 @@
                 points.say("  not measured with " + size + " servers: " + e.getMessage());
             }
         }
-        changeBytes();
+        bytes();
     }
 
     private void at(int servers) throws IOException, InterruptedException {
-        points.say("packaged sidecar, " + servers + " servers listed");
+        points.part("packaged sidecar, " + servers + " servers listed");
         points.add(Quantity.LIST_BYTES, servers, ListText.whole(1, servers, false).length());
         long emptyMs = plan.source().emptyLineEvery() / 1_000_000;
         List<Double> starts = new ArrayList<>();
@@ -150,11 +150,16 @@
         return Math.max(0, ProcessFigures.cpuSince(cpu, sidecar.pid()) - atRest) / times / MS;
     }
 
-    private void changeBytes() {
-        // A chunk's frame: its length in hexadecimal and two line ends.
+    private void bytes() {
         for (int entries : lineSizes()) {
-            int line = ListText.change(1_000_000, entries, true).length();
-            points.add(Quantity.CHANGE_BYTES, entries, line + Integer.toHexString(line).length() + 4);
+            points.add(Quantity.LINE_BYTES, entries, chunk(entries));
+            points.add(Quantity.CHANGE_BYTES, entries, entries * chunk(1));
         }
     }
+
+    /** One line in its frame: the length in hexadecimal and two line ends. */
+    private static int chunk(int entries) {
+        int line = ListText.change(1_000_000, entries, true).length();
+        return line + Integer.toHexString(line).length() + 4;
+    }
 }
--- a/capacity/src/main/java/topazvalve/capacity/measure/Points.java
+++ b/capacity/src/main/java/topazvalve/capacity/measure/Points.java
@@ -15,11 +15,17 @@
 final class Points {
     private final Map<Quantity, List<Point>> points = new EnumMap<>(Quantity.class);
     private final Consumer<String> say;
+    private final long begun = System.nanoTime();
 
     Points(Consumer<String> say) {
         this.say = say;
     }
 
+    /** Says what is measured from now on, with the seconds since the beginning. */
+    void part(String what) {
+        say.accept(String.format(Locale.ROOT, "%.0f s: %s", (System.nanoTime() - begun) / 1e9, what));
+    }
+
     void say(String line) {
         say.accept(line);
     }
--- a/capacity/src/main/java/topazvalve/capacity/measure/ServingMeasurement.java
+++ b/capacity/src/main/java/topazvalve/capacity/measure/ServingMeasurement.java
@@ -88,7 +88,7 @@
         int each = plan.watchesPerMachine();
         int[] sizes = quick ? new int[] {each / 4, each, 6 * each}
                 : new int[] {each / 4, each, 2 * each, 4 * each, 8 * each};
-        points.say(role.name() + ", " + plan.fleet().servers() + " servers listed, watches held");
+        points.part(role.name() + ", " + plan.fleet().servers() + " servers listed, watches held");
         try (Watchers watchers = new Watchers(group, port)) {
             watchers.open(sizes[0], 1);
             // A process that has just started compiles its code while it tells the first changes.
@@ -142,7 +142,7 @@
         int each = plan.watchesPerMachine();
         int[] sizes = quick ? new int[] {each / 8, each / 2, each}
                 : new int[] {each / 8, each / 4, each / 2, each, 2 * each};
-        points.say(role.name() + ", " + plan.fleet().servers() + " servers listed, whole lists at once");
+        points.part(role.name() + ", " + plan.fleet().servers() + " servers listed, whole lists at once");
         Fetchers.run(group, port, each / 8, SEED, 30);
         for (int size : sizes) {
             Map<String, Long> cpu = ProcessFigures.cpu(pid);
@@ -154,7 +154,7 @@
     private void bound() throws IOException, InterruptedException {
         double rate = (plan.source().callsPerSecond().low() + plan.source().callsPerSecond().high()) / 2;
         int[] sizes = quick ? new int[] {2, 4, 8} : new int[] {6, 12, 24, 48};
-        points.say("stand-in source that answers " + rate + " calls a second, whole lists at once");
+        points.part("stand-in source that answers " + rate + " calls a second, whole lists at once");
         try (Server source = Server.source(plan.fleet().servers(), rate,
                 plan.source().timeout() / 1_000_000, emptyMs)) {
             for (int size : sizes) {
--- a/capacity/src/test/java/topazvalve/capacity/fit/FitTest.java
+++ b/capacity/src/test/java/topazvalve/capacity/fit/FitTest.java
@@ -59,6 +59,13 @@
         }
     }
 
+    @Test
+    void ofThreePointsNoBendIsSaidSinceTwoLinesAlwaysFitThem() {
+        assertTrue(Fit.of(List.of(new Point(1, 1), new Point(2, 1), new Point(3, 9))).bend().isEmpty());
+        assertTrue(Fit.of(List.of(new Point(1, 1), new Point(2, 1), new Point(3, 1), new Point(4, 9))).bend()
+                .isPresent());
+    }
+
     @Test
     void whatNeverVariesIsALineWithoutResidual() {
         Fit fit = fit(x -> 190);
