A fleet of hollow sidecars on real sockets, its sources of lists, and an oracle

Need: the plan is 5,700 sidecars that have each change in force within 9 s; nothing here could show what the lists' spreading costs at that size, or where it fails.

Change: module `fleet` and the verb `./topazvalve fleet [TIMELINE] [--quick]`. A hollow sidecar is the real discovery client, the real decision module that says when to follow and how to back off, on real sockets and the loop's timers; only the request path is left out. The source speaks the published form, with capacity, call_lines and time-out, links that are cut, silent, slow or refusing by zone, restarts with lower versions, several sources, and an optional epoch. The oracle knows five rules; each is seen broken by a planted fault, in FleetOracleTest with times of the test's own and in FleetRunTest over sockets.

--- /dev/null
+++ b/command/src/main/java/topazvalve/command/Fleet.java
@@ -0,0 +1,69 @@
+package topazvalve.command;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import topazvalve.fleet.run.FleetReport;
+import topazvalve.fleet.run.FleetRun;
+import topazvalve.fleet.run.Preflight;
+import topazvalve.fleet.run.StageResult;
+import topazvalve.fleet.timeline.Timeline;
+import topazvalve.fleet.timeline.TimelineFile;
+import topazvalve.toml.BadFile;
+
+/** Plays a fleet of hollow sidecars and their sources of lists on loopback. */
+@Command(name = "fleet", description = {
+    "Plays a fleet's control plane on loopback: thousands of hollow sidecars that follow lists,",
+    "the sources of these lists, and what happens to both; an oracle watches."})
+final class Fleet implements Callable<Integer> {
+    /** Thousands of sidecars say the same of every failure; kept, or the level would be forgotten. */
+    private static final Logger DISCOVERY = Logger.getLogger("discovery");
+    @Spec
+    private CommandSpec spec;
+    @Parameters(paramLabel = "TIMELINE", arity = "0..1",
+            description = "what happens (.toml); world/fleets/plan.toml, or quick.toml there for --quick")
+    private Path file;
+    @Option(names = "--quick", description = "the short form: some hundred sidecars, under a minute")
+    private boolean quick;
+    @Option(names = "--seed", defaultValue = "1",
+            description = "what all chance is drawn from (${DEFAULT-VALUE})")
+    private long seed;
+
+    @Override
+    public Integer call() throws IOException {
+        Timeline timeline = timeline();
+        List<String> wanting = Preflight.check(timeline);
+        if (!wanting.isEmpty()) {
+            throw new BadInput("this machine has no room for it\n" + String.join("\n", wanting), null);
+        }
+        PrintWriter out = spec.commandLine().getOut();
+        DISCOVERY.setLevel(Level.OFF);
+        FleetReport report = new FleetReport(timeline, out);
+        report.begin(seed);
+        try (FleetRun run = new FleetRun(timeline, seed)) {
+            boolean clean = run.play(report::stage).stream().allMatch(StageResult::clean);
+            report.end(run.oracle());
+            return clean ? ExitCode.DONE : ExitCode.FAILED;
+        }
+    }
+
+    private Timeline timeline() throws IOException {
+        Path named = file != null ? file : Real.home().resolve(quick ? "world/fleets/quick.toml"
+                : "world/fleets/plan.toml");
+        Input.requireFile(named);
+        try {
+            return TimelineFile.read(named);
+        } catch (BadFile e) {
+            throw new BadInput(e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/topazvalve/fleet/hollow/Hollow.java
@@ -0,0 +1,238 @@
+package topazvalve.fleet.hollow;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.LongSupplier;
+import topazvalve.core.classes.ClassTable;
+import topazvalve.core.exchange.Exchanges;
+import topazvalve.core.metrics.Metrics;
+import topazvalve.core.servers.ServerList;
+import topazvalve.core.servers.Target;
+import topazvalve.core.time.LoopTime;
+import topazvalve.core.time.Time;
+import topazvalve.decisions.Balancer.ListKind;
+import topazvalve.decisions.Balancer.State;
+import topazvalve.decisions.Options;
+import topazvalve.decisions.Rules;
+import topazvalve.fleet.truth.Names;
+import topazvalve.fleet.truth.Truth;
+import topazvalve.sidecar.discovery.Discovery;
+import topazvalve.sidecar.discovery.Listing;
+
+/**
+ * One sidecar without a request path: the real discovery client, the real decision module that says when to
+ * follow and how long to back off, on the real loop's timers and sockets. The module is shown the first few
+ * servers of each list alone, so that thousands fit into a process; the whole list in force is kept in
+ * {@link Held}. On one loop.
+ */
+final class Hollow {
+    /** The servers that the module is shown. */
+    static final int SHOWN = 8;
+
+    private final int number;
+    private final int zone;
+    private final int source;
+    private final EventLoop loop;
+    private final InetSocketAddress target;
+    private final Options options;
+    private final LongSupplier clock;
+    private final Observer observer;
+    private final Tap tap;
+    private final EventLoop tapped;
+    private final Held held;
+    private Life life;
+    private boolean empty;
+    private boolean answered;
+    private long reachableSince;
+    private boolean reachable = true;
+
+    /** What the oracle is told, on the instance's loop. */
+    interface Observer {
+        void replaced(Hollow instance, int server, int before, State had, int now, State has);
+
+        /**
+         * An answer was taken over.
+         *
+         * @param first whether it is the first of this life
+         * @param filled whether it is the whole list of one that had none
+         */
+        void listed(Hollow instance, boolean first, boolean filled);
+    }
+
+    /** One that is not alive yet; {@code target} is who serves it lists. */
+    Hollow(int number, int zone, int source, EventLoop loop, InetSocketAddress target, Options options,
+            LongSupplier clock, Truth truth, Observer observer) {
+        this.number = number;
+        this.zone = zone;
+        this.source = source;
+        this.loop = loop;
+        this.target = target;
+        this.options = options;
+        this.clock = clock;
+        this.observer = observer;
+        this.tap = new Tap(loop);
+        this.tapped = tap.tapped();
+        this.held = new Held(truth);
+    }
+
+    /** One life from a start to a kill: what is left of it after that does nothing. */
+    private final class Life implements ServerList, ServerList.Listener {
+        private final Exchanges<Object, Object> exchanges;
+        private final Discovery discovery;
+        private final long startedAt = clock.getAsLong();
+        private boolean over;
+
+        Life(long seed, Known known) {
+            Time time = new Time() {
+                private final Time real = new LoopTime(loop);
+
+                @Override
+                public long now() {
+                    return real.now();
+                }
+
+                @Override
+                public Alarm after(long nanoseconds, Runnable action) {
+                    return real.after(nanoseconds, () -> {
+                        if (!over) {
+                            action.run();
+                        }
+                    });
+                }
+            };
+            exchanges = new Exchanges<>(time, options, (settings, actions) -> new Rules(settings, seed,
+                    actions), new NoBack(), 1, new Metrics(), new ClassTable());
+            discovery = new Discovery(tapped, target, new Listing(known.rev(), true,
+                    known.shown()), null, this);
+        }
+
+        void start(Known known) {
+            exchanges.start(this, known.shown());
+        }
+
+        void end() {
+            over = true;
+            exchanges.stop();
+        }
+
+        @Override
+        public void listed(ListKind kind, List<Target> targets) {
+            if (over) {
+                return;
+            }
+            if (kind != ListKind.FAILED) {
+                held.take(kind, targets, (server, before, had, now, has) ->
+                        observer.replaced(Hollow.this, server, before, had, now, has));
+                boolean first = !answered;
+                answered = true;
+                boolean filled = empty && kind == ListKind.FULL;
+                empty &= !filled;
+                observer.listed(Hollow.this, first, filled);
+            }
+            exchanges.listed(kind, targets.stream().filter(each -> {
+                int server = Names.number(each.uid());
+                return server >= 0 && server < SHOWN;
+            }).toList());
+        }
+
+        @Override
+        public void watch(boolean on) {
+            if (!over) {
+                discovery.watch(on);
+            }
+        }
+
+        @Override
+        public void fetch() {
+            if (!over) {
+                discovery.fetch();
+            }
+        }
+
+        @Override
+        public void close() {
+            discovery.close();
+        }
+    }
+
+    /** Starts with the list that it is given; nothing of the life before is left. */
+    void start(long seed, Known known) {
+        held.set(known);
+        empty = known.rev() == 0;
+        answered = false;
+        reachableSince = clock.getAsLong();
+        life = new Life(seed, known);
+        life.start(known);
+    }
+
+    /** Dies: its connections end, and nothing it had planned happens. */
+    void kill() {
+        if (life != null) {
+            life.end();
+            life = null;
+        }
+    }
+
+    /** From now on who serves it can, or can't, be reached. */
+    void reachable(boolean now) {
+        if (now && !reachable) {
+            reachableSince = clock.getAsLong();
+        }
+        reachable = now;
+    }
+
+    /** Whether anything is owed to it: it is alive and its source can be reached. */
+    boolean owed() {
+        return life != null && reachable;
+    }
+
+    /** Since when it has been alive with its source in reach, on the clock it was given. */
+    long owedSince() {
+        return reachableSince;
+    }
+
+    /** Whether it has had no list since it started. */
+    boolean empty() {
+        return empty;
+    }
+
+    /** Whether it has had an answer since it started. */
+    boolean answered() {
+        return answered;
+    }
+
+    boolean alive() {
+        return life != null;
+    }
+
+    int number() {
+        return number;
+    }
+
+    int zone() {
+        return zone;
+    }
+
+    /** The number of the source whose servers it is owed. */
+    int source() {
+        return source;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    Tap tap() {
+        return tap;
+    }
+
+    Held held() {
+        return held;
+    }
+
+    /** When it last started. */
+    long startedAt() {
+        return life == null ? 0 : life.startedAt;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/topazvalve/fleet/run/FleetRun.java
@@ -0,0 +1,276 @@
+package topazvalve.fleet.run;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import topazvalve.decisions.Balancer.State;
+import topazvalve.fleet.hollow.Figures;
+import topazvalve.fleet.hollow.HollowFleet;
+import topazvalve.fleet.hollow.Known;
+import topazvalve.fleet.oracle.FleetOracle;
+import topazvalve.fleet.oracle.Rule;
+import topazvalve.fleet.source.Link;
+import topazvalve.fleet.source.Source;
+import topazvalve.fleet.timeline.Timeline;
+import topazvalve.fleet.timeline.Timeline.From;
+import topazvalve.fleet.timeline.Timeline.Size;
+import topazvalve.fleet.timeline.Timeline.Stage;
+import topazvalve.fleet.timeline.Timeline.Versions;
+import topazvalve.fleet.truth.Truth;
+import topazvalve.world.model.Chance;
+
+/** Plays one timeline on loopback, in real time, from the caller's thread. */
+public final class FleetRun implements AutoCloseable {
+    private static final long POLL = 100_000_000;
+    private static final long STEP = 1_000_000;
+    private static final double DAY = 86_400e9;
+    private static final int FIRST_LOOPBACK = 127;
+
+    private final Timeline timeline;
+    private final Size size;
+    private final long zero = System.nanoTime();
+    private final Truth truth;
+    private final FleetOracle oracle;
+    private final Sources sources;
+    private final MultiThreadIoEventLoopGroup loops;
+    private final HollowFleet fleet;
+    private final Chance chance;
+    private final List<Integer> stalled = new ArrayList<>();
+    private Map<Rule, Integer> foundBefore = Map.of();
+
+    /** Sets all up, with the whole list made and nobody alive; all chance is drawn from {@code seed}. */
+    public FleetRun(Timeline timeline, long seed) {
+        this.timeline = timeline;
+        this.size = timeline.size();
+        this.truth = new Truth(size.servers(), timeline.mostChanges());
+        this.oracle = new FleetOracle(truth, timeline.allowed());
+        this.chance = Chance.stream(seed, "fleet");
+        this.sources = new Sources(timeline, truth, oracle, this::now);
+        IntStream.range(0, size.servers()).forEach(each -> sources.of(each).change(each, State.READY));
+        sources.settle();
+        this.loops = new MultiThreadIoEventLoopGroup(size.loops(), NioIoHandler.newFactory());
+        List<EventLoop> all = IntStream.range(0, size.loops()).mapToObj(each -> (EventLoop) loops.next())
+                .toList();
+        this.fleet = new HollowFleet(all, size.hollow(), each -> {
+            int zone = each % size.zones();
+            int source = size.region(zone) % size.sources();
+            return new HollowFleet.Place(zone, source, sources.address(source, zone));
+        }, truth, oracle, this::now, size.sources(), seed);
+    }
+
+    private long now() {
+        return System.nanoTime() - zero;
+    }
+
+    /** The address at which a source listens for a zone: one of its own, so that ports go further. */
+    static InetSocketAddress loopback(int source, int zone) {
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(new byte[] {(byte) FIRST_LOOPBACK,
+                (byte) (1 + source), (byte) (zone >> 8), (byte) (1 + zone)}), 0);
+        } catch (UnknownHostException e) {
+            throw new AssertionError("four bytes are an address", e);
+        }
+    }
+
+    public FleetOracle oracle() {
+        return oracle;
+    }
+
+    /** Where the lists come from; tests plant faults there. */
+    public Sources sources() {
+        return sources;
+    }
+
+    /** Starts all with the whole list known; then plays every stage. Tells of each as it ends. */
+    public List<StageResult> play(Consumer<StageResult> told) {
+        List<StageResult> results = new ArrayList<>();
+        Known[] known = known();
+        Measured begun = new Measured();
+        for (int i = 0; i < fleet.size(); i++) {
+            fleet.start(i, known[fleet.source(i)], size.startOver() * i / fleet.size());
+        }
+        pause(size.startOver());
+        results.add(begun.result("start, list known", 0, settled(now() + 60_000_000_000L)));
+        told.accept(results.get(0));
+        for (Stage each : timeline.stages()) {
+            StageResult result = play(each);
+            results.add(result);
+            told.accept(result);
+        }
+        return results;
+    }
+
+    /** What was true at the start of a stage, so that its end can say what came in between. */
+    private final class Measured {
+        private final long at = now();
+        private final long cpu = fleet.cpu();
+        private final long[] sourceCpu = sources.cpu();
+        private final long calls = sources.calls();
+        private final long refused = sources.refused();
+        private final long bytes = sources.bytes();
+        private final long starved = Machine.starvedMicros();
+
+        Measured() {
+            sources.busiest();
+            fleet.figures();
+        }
+
+        StageResult result(String name, int made, int behind) {
+            Figures figures = fleet.figures();
+            double took = now() - at;
+            long[] cpuNow = sources.cpu();
+            double busiest = IntStream.range(0, cpuNow.length).mapToDouble(each ->
+                    (cpuNow[each] - sourceCpu[each]) / took).max().orElse(0);
+            Map<Rule, Integer> found = new EnumMap<>(Rule.class);
+            oracle.counts().forEach((rule, count) -> {
+                int more = count - foundBefore.getOrDefault(rule, 0);
+                if (more > 0) {
+                    found.put(rule, more);
+                }
+            });
+            foundBefore = oracle.counts();
+            Runtime runtime = Runtime.getRuntime();
+            return new StageResult(name, made, figures, behind, took / 1e9, sources.calls() - calls,
+                    sources.refused() - refused, sources.busiest(), sources.bytes() - bytes,
+                    (fleet.cpu() - cpu) / took, busiest, runtime.totalMemory() - runtime.freeMemory() >> 20,
+                    starved < 0 ? -1 : (Machine.starvedMicros() - starved) * 1e3 / took, found);
+        }
+    }
+
+    private StageResult play(Stage stage) {
+        Measured begun = new Measured();
+        long start = now();
+        breakThings(stage);
+        int made = 0;
+        int planned = (int) Math.round(stage.changesADay() * stage.length() / DAY);
+        int[] burst = zone(stage.burstZone(), stage.burst());
+        int burstMade = 0;
+        boolean down = stage.sourceDown() > 0;
+        while (now() < start + stage.length() || burstMade < burst.length || down) {
+            long since = now() - start;
+            while (made < planned && since >= stage.length() * (made + 0.5) / planned) {
+                change((int) (chance.part() * size.servers()));
+                made++;
+            }
+            while (burstMade < burst.length
+                    && since >= stage.burstWithin() * (double) burstMade / burst.length) {
+                change(burst[burstMade++]);
+            }
+            if (down && since >= stage.sourceDown()) {
+                down = false;
+                sources.all(each -> each.start(stage.versions() == Versions.LOWER));
+                sources.settle();
+                fleet.reachable(zone -> true, true);
+            }
+            LockSupport.parkNanos(STEP);
+        }
+        mend(stage);
+        return begun.result(stage.name(), made + burstMade, settled(now() + stage.settle()));
+    }
+
+    private void breakThings(Stage stage) {
+        Known[] known = known();
+        List<Integer> some = some(stage.restart());
+        some.forEach(fleet::kill);
+        some.forEach(each -> fleet.start(each, stage.from() == From.KNOWN ? known[fleet.source(each)]
+                : Known.NOTHING, stage.down()));
+        some(stage.stalled()).forEach(each -> {
+            fleet.reading(each, false);
+            stalled.add(each);
+        });
+        if (stage.link().kind() != Link.Kind.OPEN) {
+            fleet.reachable(stage.zones()::contains, stage.link().answers());
+            sources.link(stage.zones(), stage.link());
+        }
+        if (stage.sourceDown() > 0) {
+            fleet.reachable(zone -> true, false);
+            sources.all(Source::stop);
+        }
+    }
+
+    private void mend(Stage stage) {
+        if (stage.link().kind() != Link.Kind.OPEN) {
+            sources.link(stage.zones(), Link.OPEN);
+            sources.settle();
+            fleet.reachable(stage.zones()::contains, true);
+        }
+        stalled.forEach(each -> fleet.reading(each, true));
+        stalled.clear();
+    }
+
+    private Known[] known() {
+        try {
+            Known[] known = new Known[size.sources()];
+            for (int i = 0; i < known.length; i++) {
+                int source = i;
+                known[i] = sources.number(i).now(rev -> Known.of(truth, rev, source, size.sources())).get();
+            }
+            return known;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e.getCause());
+        }
+    }
+
+    /** A server's next state: serving, then draining, then gone, then serving anew. */
+    private void change(int server) {
+        State next = switch (truth.state(truth.latest(server))) {
+            case READY -> State.DRAINING;
+            case DRAINING -> State.GONE;
+            case GONE -> State.READY;
+        };
+        sources.of(server).change(server, next);
+    }
+
+    private List<Integer> some(int count) {
+        List<Integer> all = new ArrayList<>(IntStream.range(0, fleet.size()).boxed().toList());
+        for (int i = 0; i < count; i++) {
+            Collections.swap(all, i, i + (int) (chance.part() * (all.size() - i)));
+        }
+        return all.subList(0, count);
+    }
+
+    private int[] zone(int zone, int most) {
+        return IntStream.range(0, size.servers()).filter(each -> each % size.zones() == zone).limit(most)
+                .toArray();
+    }
+
+    /** Waits until all that are owed something have it; returns how many have not at this time. */
+    private int settled(long latest) {
+        int behind = fleet.behind();
+        while (behind > 0 && now() < latest) {
+            LockSupport.parkNanos(POLL);
+            behind = fleet.behind();
+        }
+        return behind;
+    }
+
+    private static void pause(long nanos) {
+        long until = System.nanoTime() + nanos;
+        while (System.nanoTime() < until) {
+            LockSupport.parkNanos(until - System.nanoTime());
+        }
+    }
+
+    @Override
+    public void close() {
+        fleet.close();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        sources.close();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/topazvalve/fleet/run/Sources.java
@@ -0,0 +1,107 @@
+package topazvalve.fleet.run;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.lang.management.ManagementFactory;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.ToLongFunction;
+import java.util.stream.IntStream;
+import topazvalve.fleet.oracle.FleetOracle;
+import topazvalve.fleet.source.Link;
+import topazvalve.fleet.source.Source;
+import topazvalve.fleet.source.SourceCounts;
+import topazvalve.fleet.timeline.Timeline;
+import topazvalve.fleet.truth.Truth;
+
+/** The sources of a run, each on a loop of its own. Servers belong to them in turn. */
+public final class Sources implements AutoCloseable {
+    private final List<Source> all = new ArrayList<>();
+    private final List<InetSocketAddress[]> addresses = new ArrayList<>();
+    private final List<Long> threads = new ArrayList<>();
+    private final MultiThreadIoEventLoopGroup group;
+
+    Sources(Timeline timeline, Truth truth, FleetOracle oracle, LongSupplier clock) {
+        int count = timeline.size().sources();
+        List<String> zones = IntStream.range(0, timeline.size().zones()).mapToObj(each -> "z" + each)
+                .toList();
+        group = new MultiThreadIoEventLoopGroup(count, NioIoHandler.newFactory());
+        for (int i = 0; i < count; i++) {
+            EventLoop loop = group.next();
+            String name = "source " + i;
+            Source source = new Source(loop, truth, clock, timeline.source(), zones, inSecond ->
+                    oracle.called(name, inSecond, timeline.source().capacity(), clock.getAsLong()));
+            InetSocketAddress[] at = new InetSocketAddress[zones.size()];
+            for (int zone = 0; zone < at.length; zone++) {
+                at[zone] = source.listen(zone, FleetRun.loopback(i, zone));
+            }
+            all.add(source);
+            addresses.add(at);
+            threads.add(loop.submit(() -> Thread.currentThread().getId()).syncUninterruptibly().getNow());
+        }
+    }
+
+    /** The source that tells of a server. */
+    Source of(int server) {
+        return all.get(server % all.size());
+    }
+
+    /** One source by its number. */
+    public Source number(int source) {
+        return all.get(source);
+    }
+
+    InetSocketAddress address(int source, int zone) {
+        return addresses.get(source)[zone];
+    }
+
+    void all(Consumer<Source> work) {
+        all.forEach(work);
+    }
+
+    void link(List<Integer> zones, Link link) {
+        zones.forEach(zone -> all.forEach(each -> each.link(zone, link)));
+    }
+
+    /** Waits until all that was asked of the sources before is done. */
+    void settle() {
+        group.forEach(each -> each.submit(() -> { }).syncUninterruptibly());
+    }
+
+    private long sum(ToLongFunction<SourceCounts> count) {
+        return all.stream().map(Source::counts).mapToLong(count).sum();
+    }
+
+    long calls() {
+        return sum(SourceCounts::calls);
+    }
+
+    long refused() {
+        return sum(SourceCounts::refused);
+    }
+
+    long bytes() {
+        return sum(SourceCounts::bytes);
+    }
+
+    /** The most calls at one source in a second since this was last asked. */
+    int busiest() {
+        return all.stream().map(Source::counts).mapToInt(SourceCounts::busiest).max().orElse(0);
+    }
+
+    /** CPU of each source's loop since it began, nanoseconds. */
+    long[] cpu() {
+        return threads.stream().mapToLong(each ->
+                ManagementFactory.getThreadMXBean().getThreadCpuTime(each)).toArray();
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
