Hollow fleets follow relays: in this process or as processes of their own

Need: the mechanism is to be shown beside what was there before, with the same fleet, stages and oracle.

Change: a timeline's [relays] puts so many between the sources and the hollow sidecars, spread over the zones; stages kill some of them for a time or restart all. Whoever is asked is one parameter of a hollow sidecar. A server that a relay tells as gone without the change that said so counts as left out of a whole list. The report has the relays' CPU and memory, and how long the machine starved.

--- a/command/src/main/java/topazvalve/command/Fleet.java
+++ b/command/src/main/java/topazvalve/command/Fleet.java
@@ -26,7 +26,8 @@
     "the sources of these lists, and what happens to both; an oracle watches."})
 final class Fleet implements Callable<Integer> {
     /** Thousands of sidecars say the same of every failure; kept, or the level would be forgotten. */
-    private static final Logger DISCOVERY = Logger.getLogger("discovery");
+    private static final List<Logger> TALKERS = List.of(Logger.getLogger("discovery"),
+            Logger.getLogger("source"), Logger.getLogger("relay"));
     @Spec
     private CommandSpec spec;
     @Parameters(paramLabel = "TIMELINE", arity = "0..1",
@@ -46,7 +47,7 @@
             throw new BadInput("this machine has no room for it\n" + String.join("\n", wanting), null);
         }
         PrintWriter out = spec.commandLine().getOut();
-        DISCOVERY.setLevel(Level.OFF);
+        TALKERS.forEach(each -> each.setLevel(Level.OFF));
         FleetReport report = new FleetReport(timeline, out);
         report.begin(seed);
         try (FleetRun run = new FleetRun(timeline, seed)) {
--- a/fleet/src/main/java/topazvalve/fleet/hollow/Held.java
+++ b/fleet/src/main/java/topazvalve/fleet/hollow/Held.java
@@ -60,19 +60,28 @@
             if (named != null) {
                 named.set(server);
             }
-            put(server, each.cell(), each.state(), watcher);
+            if (each.state() == State.GONE && each.cell() == 0) {
+                // Who passes lists on and hears that a server is not in one knows no more of it.
+                gone(server, watcher);
+            } else {
+                put(server, each.cell(), each.state(), watcher);
+            }
         }
         if (named != null) {
             for (int server = named.nextClearBit(0); server < entries.length;
                     server = named.nextClearBit(server + 1)) {
-                // What a whole list leaves out is gone; by the newest change, if that says so.
-                int latest = truth.latest(server);
-                boolean said = latest > change(server) && truth.state(latest) == State.GONE;
-                put(server, said ? latest : change(server), State.GONE, watcher);
+                gone(server, watcher);
             }
         }
     }
 
+    /** What a whole list leaves out is gone; by the newest change, if that says so. */
+    private void gone(int server, Watcher watcher) {
+        int latest = truth.latest(server);
+        boolean said = latest > change(server) && truth.state(latest) == State.GONE;
+        put(server, said ? latest : change(server), State.GONE, watcher);
+    }
+
     private void put(int server, int change, State state, Watcher watcher) {
         int before = change(server);
         State had = state(server);
--- a/fleet/src/main/java/topazvalve/fleet/hollow/Hollow.java
+++ b/fleet/src/main/java/topazvalve/fleet/hollow/Hollow.java
@@ -1,7 +1,6 @@
 package topazvalve.fleet.hollow;
 
 import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.function.LongSupplier;
 import topazvalve.core.classes.ClassTable;
@@ -19,6 +18,7 @@
 import topazvalve.fleet.truth.Truth;
 import topazvalve.sidecar.discovery.Discovery;
 import topazvalve.sidecar.discovery.Listing;
+import topazvalve.sidecar.discovery.Relays;
 
 /**
  * One sidecar without a request path: the real discovery client, the real decision module that says when to
@@ -34,7 +34,7 @@
     private final int zone;
     private final int source;
     private final EventLoop loop;
-    private final InetSocketAddress target;
+    private final Targets targets;
     private final Options options;
     private final LongSupplier clock;
     private final Observer observer;
@@ -60,14 +60,14 @@
         void listed(Hollow instance, boolean first, boolean filled);
     }
 
-    /** One that is not alive yet; {@code target} is who serves it lists. */
-    Hollow(int number, int zone, int source, EventLoop loop, InetSocketAddress target, Options options,
+    /** One that is not alive yet; {@code targets} is who serves it lists. */
+    Hollow(int number, int zone, int source, EventLoop loop, Targets targets, Options options,
             LongSupplier clock, Truth truth, Observer observer) {
         this.number = number;
         this.zone = zone;
         this.source = source;
         this.loop = loop;
-        this.target = target;
+        this.targets = targets;
         this.options = options;
         this.clock = clock;
         this.observer = observer;
@@ -103,8 +103,8 @@
             };
             exchanges = new Exchanges<>(time, options, (settings, actions) -> new Rules(settings, seed,
                     actions), new NoBack(), 1, new Metrics(), new ClassTable());
-            discovery = new Discovery(tapped, target, new Listing(known.rev(), true,
-                    known.shown()), null, this);
+            discovery = new Discovery(tapped, targets.source(), new Listing(known.rev(), true, known.shown(),
+                    known.versions()), null, Relays.of("hollow-" + number, targets.relays(), seed), this);
         }
 
         void start(Known known) {
--- a/fleet/src/main/java/topazvalve/fleet/hollow/HollowFleet.java
+++ b/fleet/src/main/java/topazvalve/fleet/hollow/HollowFleet.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.lang.management.ManagementFactory;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -37,21 +36,25 @@
     private long starts;
 
     /** Who serves an instance, and which source's servers it is owed. */
-    public record Place(int zone, int source, InetSocketAddress target) { }
+    public record Place(int zone, int source, Targets targets) { }
 
-    /** Makes {@code count} instances, none of them alive. */
+    /**
+     * Makes {@code count} instances, none of them alive.
+     *
+     * @param lists how many lists there are: an instance is owed every so-manyth server, by its source
+     */
     public HollowFleet(List<EventLoop> loops, int count, IntFunction<Place> places, Truth truth,
-            FleetOracle oracle, LongSupplier clock, int sources, long seed) {
+            FleetOracle oracle, LongSupplier clock, int lists, long seed) {
         this.seed = seed;
         for (EventLoop loop : loops) {
-            LoopSide side = new LoopSide(loop, truth, oracle, clock, sources, truth.count());
+            LoopSide side = new LoopSide(loop, truth, oracle, clock, lists, truth.count());
             sides.add(side);
             threads.add(wait(loop.submit(() -> Thread.currentThread().getId())));
         }
         for (int i = 0; i < count; i++) {
             LoopSide side = sides.get(i % sides.size());
             Place place = places.apply(i);
-            Hollow made = new Hollow(i, place.zone, place.source, side.loop(), place.target, OPTIONS, clock,
+            Hollow made = new Hollow(i, place.zone, place.source, side.loop(), place.targets, OPTIONS, clock,
                     truth, side.observer());
             side.add(made);
             instances.add(made);
--- a/fleet/src/main/java/topazvalve/fleet/hollow/LoopSide.java
+++ b/fleet/src/main/java/topazvalve/fleet/hollow/LoopSide.java
@@ -22,7 +22,7 @@
     private final Truth truth;
     private final FleetOracle oracle;
     private final LongSupplier clock;
-    private final int sources;
+    private final int lists;
     private final int first;
     private final List<Hollow> instances = new ArrayList<>();
     private final List<Meter> meters = new ArrayList<>();
@@ -57,12 +57,12 @@
      *
      * @param first changes up to this one were made before anybody looked
      */
-    LoopSide(EventLoop loop, Truth truth, FleetOracle oracle, LongSupplier clock, int sources, int first) {
+    LoopSide(EventLoop loop, Truth truth, FleetOracle oracle, LongSupplier clock, int lists, int first) {
         this.loop = loop;
         this.truth = truth;
         this.oracle = oracle;
         this.clock = clock;
-        this.sources = sources;
+        this.lists = lists;
         this.first = first;
     }
 
@@ -125,7 +125,7 @@
     private void look() {
         long now = clock.getAsLong();
         looks++;
-        int[][] due = new int[sources][];
+        int[][] due = new int[lists][];
         for (int i = 0; i < instances.size(); i++) {
             Hollow each = instances.get(i);
             Meter meter = meters.get(i);
@@ -139,7 +139,7 @@
             if (each.owed() && now - each.owedSince() > oracle.allowed().late() && !meter.late) {
                 int source = each.source();
                 if (due[source] == null) {
-                    due[source] = oracle.due(now, server -> server % sources == source ? 1 : 0);
+                    due[source] = oracle.due(now, server -> server % lists == source ? 1 : 0);
                 }
                 meter.late = late(each, due[source], now);
             }
@@ -167,7 +167,7 @@
         for (Hollow each : instances) {
             boolean lacks = each.owed() && (!each.answered() || each.empty());
             for (int server = each.source(); !lacks && each.owed() && server < truth.servers();
-                    server += sources) {
+                    server += lists) {
                 lacks = !oracle.inForce(truth.latest(server), each.held().change(server),
                         each.held().state(server));
             }
--- a/fleet/src/main/java/topazvalve/fleet/run/FleetReport.java
+++ b/fleet/src/main/java/topazvalve/fleet/run/FleetReport.java
@@ -29,6 +29,10 @@
                 timeline.source().capacity() == 0 ? " of unbounded capacity" : String.format(Locale.ROOT,
                         " of %.1f calls a second", timeline.source().capacity()),
                 size.zones(), size.regions(), seed);
+        if (timeline.relays().count() > 0) {
+            out.printf(Locale.ROOT, "%d relays between them, %s%n", timeline.relays().count(),
+                    timeline.relays().processes() ? "each a process" : "in this process");
+        }
         out.printf(Locale.ROOT, "allowed: a change in force within %.1f s; %.0f bytes a second for control "
                 + "over %d s; %.1f%% of a core%n", timeline.allowed().late() / 1e9,
                 timeline.allowed().bytesPerSecond(), timeline.allowed().windowSeconds(), CORE_PERCENT);
@@ -52,6 +56,10 @@
                 result.figures().bytes() / result.seconds() / count,
                 result.figures().busiestWindow() / (double) timeline.allowed().windowSeconds(),
                 result.figures().busiestSecond(), 100 * result.hollowCores() / count, result.heapMb());
+        if (timeline.relays().count() > 0) {
+            out.printf(Locale.ROOT, "  relays: %.2f cores in all; the largest has %d MB%n",
+                    result.relayCores(), result.relayBytes() >> 20);
+        }
         if (result.starved() >= 0) {
             out.printf(Locale.ROOT, "  machine: something waited for a processor for %.0f%% of the time%n",
                     100 * result.starved());
--- a/fleet/src/main/java/topazvalve/fleet/run/FleetRun.java
+++ b/fleet/src/main/java/topazvalve/fleet/run/FleetRun.java
@@ -11,7 +11,6 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
@@ -20,6 +19,7 @@
 import topazvalve.fleet.hollow.Figures;
 import topazvalve.fleet.hollow.HollowFleet;
 import topazvalve.fleet.hollow.Known;
+import topazvalve.fleet.hollow.Targets;
 import topazvalve.fleet.oracle.FleetOracle;
 import topazvalve.fleet.oracle.Rule;
 import topazvalve.fleet.source.Link;
@@ -28,8 +28,10 @@
 import topazvalve.fleet.timeline.Timeline.From;
 import topazvalve.fleet.timeline.Timeline.Size;
 import topazvalve.fleet.timeline.Timeline.Stage;
-import topazvalve.fleet.timeline.Timeline.Versions;
 import topazvalve.fleet.truth.Truth;
+import topazvalve.lists.Version;
+import topazvalve.lists.Versions;
+import topazvalve.relay.RelaySettings;
 import topazvalve.world.model.Chance;
 
 /** Plays one timeline on loopback, in real time, from the caller's thread. */
@@ -38,6 +40,8 @@
     private static final long STEP = 1_000_000;
     private static final double DAY = 86_400e9;
     private static final int FIRST_LOOPBACK = 127;
+    /** Where relays listen, beyond all sources' addresses. */
+    private static final int RELAYS = 99;
 
     private final Timeline timeline;
     private final Size size;
@@ -47,6 +51,10 @@
     private final Sources sources;
     private final MultiThreadIoEventLoopGroup loops;
     private final HollowFleet fleet;
+    /** Null where sources are asked directly. */
+    private final RelayTier relays;
+    /** How many lists sidecars follow in all: relays make one of all sources'. */
+    private final int lists;
     private final Chance chance;
     private final List<Integer> stalled = new ArrayList<>();
     private Map<Rule, Integer> foundBefore = Map.of();
@@ -61,14 +69,29 @@
         this.sources = new Sources(timeline, truth, oracle, this::now);
         IntStream.range(0, size.servers()).forEach(each -> sources.of(each).change(each, State.READY));
         sources.settle();
+        this.lists = timeline.relays().count() > 0 ? 1 : size.sources();
+        this.relays = relays(seed);
         this.loops = new MultiThreadIoEventLoopGroup(size.loops(), NioIoHandler.newFactory());
         List<EventLoop> all = IntStream.range(0, size.loops()).mapToObj(each -> (EventLoop) loops.next())
                 .toList();
         this.fleet = new HollowFleet(all, size.hollow(), each -> {
             int zone = each % size.zones();
             int source = size.region(zone) % size.sources();
-            return new HollowFleet.Place(zone, source, sources.address(source, zone));
-        }, truth, oracle, this::now, size.sources(), seed);
+            return new HollowFleet.Place(zone, relays == null ? source : 0, new Targets(
+                    sources.address(source, zone), relays == null ? List.of() : relays.addresses()));
+        }, truth, oracle, this::now, lists, seed);
+    }
+
+    private RelayTier relays(long seed) {
+        List<RelaySettings> wanted = new ArrayList<>();
+        for (int i = 0; i < timeline.relays().count(); i++) {
+            int zone = i * size.zones() / timeline.relays().count();
+            wanted.add(RelaySettings.of("relay-" + i, loopback(RELAYS, i), IntStream.range(0, size.sources())
+                    .mapToObj(each -> new RelaySettings.SourceSettings("source-" + each,
+                            List.of(sources.address(each, zone)))).toList()));
+        }
+        return wanted.isEmpty() ? null : timeline.relays().processes() ? new RelayProcesses(wanted)
+                : new EmbeddedRelays(wanted, seed);
     }
 
     private long now() {
@@ -117,6 +140,7 @@
     private final class Measured {
         private final long at = now();
         private final long cpu = fleet.cpu();
+        private final long relayCpu = relays == null ? 0 : relays.cpu();
         private final long[] sourceCpu = sources.cpu();
         private final long calls = sources.calls();
         private final long refused = sources.refused();
@@ -145,7 +169,9 @@
             Runtime runtime = Runtime.getRuntime();
             return new StageResult(name, made, figures, behind, took / 1e9, sources.calls() - calls,
                     sources.refused() - refused, sources.busiest(), sources.bytes() - bytes,
-                    (fleet.cpu() - cpu) / took, busiest, runtime.totalMemory() - runtime.freeMemory() >> 20,
+                    (fleet.cpu() - cpu) / took, busiest,
+                    relays == null ? 0 : (relays.cpu() - relayCpu) / took,
+                    relays == null ? -1 : relays.resident(), runtime.totalMemory() - runtime.freeMemory() >> 20,
                     starved < 0 ? -1 : (Machine.starvedMicros() - starved) * 1e3 / took, found);
         }
     }
@@ -159,7 +185,9 @@
         int[] burst = zone(stage.burstZone(), stage.burst());
         int burstMade = 0;
         boolean down = stage.sourceDown() > 0;
-        while (now() < start + stage.length() || burstMade < burst.length || down) {
+        int back = 0;
+        while (now() < start + stage.length() || burstMade < burst.length || down
+                || back < stage.relaysKilled()) {
             long since = now() - start;
             while (made < planned && since >= stage.length() * (made + 0.5) / planned) {
                 change((int) (chance.part() * size.servers()));
@@ -171,10 +199,14 @@
             }
             if (down && since >= stage.sourceDown()) {
                 down = false;
-                sources.all(each -> each.start(stage.versions() == Versions.LOWER));
+                sources.all(each -> each.start(stage.versions() == Timeline.Versions.LOWER));
                 sources.settle();
                 fleet.reachable(zone -> true, true);
             }
+            if (back < stage.relaysKilled() && since >= stage.relaysDown()) {
+                relays.start(back++);
+                reachable(stage, back, true);
+            }
             LockSupport.parkNanos(STEP);
         }
         mend(stage);
@@ -192,39 +224,54 @@
             stalled.add(each);
         });
         if (stage.link().kind() != Link.Kind.OPEN) {
-            fleet.reachable(stage.zones()::contains, stage.link().answers());
+            if (relays == null) {
+                fleet.reachable(stage.zones()::contains, stage.link().answers());
+            }
             sources.link(stage.zones(), stage.link());
         }
+        for (int i = 0; i < stage.relaysKilled(); i++) {
+            relays.kill(i);
+        }
+        reachable(stage, 0, false);
         if (stage.sourceDown() > 0) {
             fleet.reachable(zone -> true, false);
             sources.all(Source::stop);
         }
     }
 
+    /** With all relays gone nobody is owed anything, until the first is back. */
+    private void reachable(Stage stage, int back, boolean now) {
+        if (relays != null && stage.relaysKilled() == timeline.relays().count() && back == (now ? 1 : 0)) {
+            fleet.reachable(zone -> true, now);
+        }
+    }
+
     private void mend(Stage stage) {
         if (stage.link().kind() != Link.Kind.OPEN) {
             sources.link(stage.zones(), Link.OPEN);
             sources.settle();
-            fleet.reachable(stage.zones()::contains, true);
+            if (relays == null) {
+                fleet.reachable(stage.zones()::contains, true);
+            }
         }
         stalled.forEach(each -> fleet.reading(each, true));
         stalled.clear();
     }
 
     private Known[] known() {
-        try {
-            Known[] known = new Known[size.sources()];
-            for (int i = 0; i < known.length; i++) {
-                int source = i;
-                known[i] = sources.number(i).now(rev -> Known.of(truth, rev, source, size.sources())).get();
-            }
-            return known;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IllegalStateException("interrupted", e);
-        } catch (ExecutionException e) {
-            throw new IllegalStateException(e.getCause());
+        // Changes are made by this thread alone, so that nothing changes meanwhile.
+        Version[] versions = new Version[size.sources()];
+        Versions all = Versions.NONE;
+        for (int i = 0; i < versions.length; i++) {
+            versions[i] = sources.number(i).version();
+            all = all.with("source-" + i, versions[i]);
+        }
+        Known[] known = new Known[lists];
+        for (int i = 0; i < lists; i++) {
+            known[i] = relays == null ? Known.of(truth, versions[i].rev(), Versions.NONE, i, lists)
+                    : Known.of(truth, all.sum(), all, 0, 1);
         }
+        return known;
     }
 
     /** A server's next state: serving, then draining, then gone, then serving anew. */
@@ -270,6 +317,9 @@
     @Override
     public void close() {
         fleet.close();
+        if (relays != null) {
+            relays.close();
+        }
         loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
         sources.close();
     }
--- a/fleet/src/main/java/topazvalve/fleet/run/StageResult.java
+++ b/fleet/src/main/java/topazvalve/fleet/run/StageResult.java
@@ -16,13 +16,16 @@
  * @param sent bytes that all sources sent
  * @param hollowCores CPU of all hollow ones, in cores
  * @param sourceCores CPU of the busiest source's loop, in cores
+ * @param relayCores CPU of all relays, in cores
+ * @param relayBytes resident memory of the largest relay; -1 without processes of their own
  * @param heapMb the process's heap in use at the end, garbage among it
  * @param starved the part of the time in which something on this machine waited for a processor; -1 if the
  *     system does not tell
  * @param found how often each rule was broken
  */
 public record StageResult(String name, int made, Figures figures, int behind, double seconds, long calls,
-        long refused, int busiest, long sent, double hollowCores, double sourceCores, long heapMb,
+        long refused, int busiest, long sent, double hollowCores, double sourceCores, double relayCores,
+        long relayBytes, long heapMb,
         double starved, Map<Rule, Integer> found) {
     /** Whether the oracle found nothing, and all had all. */
     public boolean clean() {
--- a/fleet/src/main/java/topazvalve/fleet/source/Catalogue.java
+++ b/fleet/src/main/java/topazvalve/fleet/source/Catalogue.java
@@ -75,6 +75,11 @@
         return rev;
     }
 
+    /** Which start of the source counts its versions; 0 where it does not say. */
+    long epoch() {
+        return withEpoch ? epoch : 0;
+    }
+
     int size() {
         return entries.size();
     }
--- a/fleet/src/main/java/topazvalve/fleet/source/Source.java
+++ b/fleet/src/main/java/topazvalve/fleet/source/Source.java
@@ -23,13 +23,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
-import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 import topazvalve.decisions.Balancer.State;
 import topazvalve.fleet.truth.Truth;
+import topazvalve.lists.Version;
 
 /**
  * A source of lists on loopback: the whole list, and a watch on its changes, one JSON object a line, with an
@@ -133,9 +132,10 @@
         });
     }
 
-    /** What is made of the version that the list has now, on the loop, so that nothing changes meanwhile. */
-    public <T> Future<T> now(LongFunction<T> made) {
-        return loop.submit(() -> made.apply(catalogue.rev()));
+    /** The list's version, once all that was asked of this source before is done. Not from the loop. */
+    public Version version() {
+        return loop.submit(() -> new Version(catalogue.epoch(), catalogue.rev())).syncUninterruptibly()
+                .getNow();
     }
 
     /** Tells all watches at once what would have waited for the next tick. */
--- a/fleet/src/main/java/topazvalve/fleet/timeline/Timeline.java
+++ b/fleet/src/main/java/topazvalve/fleet/timeline/Timeline.java
@@ -10,10 +10,11 @@
  *
  * @param size how many there are of everything
  * @param source what each source can do
+ * @param relays what is between sources and sidecars
  * @param allowed what the oracle allows
  */
-public record Timeline(String name, String about, Size size, SourceSettings source, Allowed allowed,
-        List<Stage> stages) {
+public record Timeline(String name, String about, Size size, SourceSettings source, RelayCount relays,
+        Allowed allowed, List<Stage> stages) {
     /**
      * How many there are.
      *
@@ -33,6 +34,14 @@
         }
     }
 
+    /**
+     * Relays between the sources and the hollow sidecars, spread evenly over the zones.
+     *
+     * @param count how many; 0 has sources asked directly
+     * @param processes whether each is a process of its own
+     */
+    public record RelayCount(int count, boolean processes) { }
+
     /** What an instance that comes back still knows. */
     public enum From { KNOWN, NOTHING }
 
@@ -56,10 +65,12 @@
      * @param sourceDown how long all sources are gone
      * @param versions with which versions they are back
      * @param stalled instances that do not read
+     * @param relaysKilled relays killed, the first ones
+     * @param relaysDown how long they are gone
      */
     public record Stage(String name, long length, long settle, double changesADay, int burst, int burstZone,
             long burstWithin, int restart, From from, long down, Link link, List<Integer> zones,
-            long sourceDown, Versions versions, int stalled) { }
+            long sourceDown, Versions versions, int stalled, int relaysKilled, long relaysDown) { }
 
     /** The most changes that the stages can make, the first entry of each server among them. */
     public int mostChanges() {
--- a/fleet/src/main/java/topazvalve/fleet/timeline/TimelineFile.java
+++ b/fleet/src/main/java/topazvalve/fleet/timeline/TimelineFile.java
@@ -12,6 +12,7 @@
 import topazvalve.fleet.source.Link;
 import topazvalve.fleet.source.SourceSettings;
 import topazvalve.fleet.timeline.Timeline.From;
+import topazvalve.fleet.timeline.Timeline.RelayCount;
 import topazvalve.fleet.timeline.Timeline.Size;
 import topazvalve.fleet.timeline.Timeline.Stage;
 import topazvalve.fleet.timeline.Timeline.Versions;
@@ -39,12 +40,13 @@
         String about = table.text("about", "-");
         Size size = size(table.table("fleet"));
         SourceSettings source = source(table.table("source"));
+        RelayCount relays = relays(table.table("relays"));
         Allowed allowed = allowed(table.table("allowed"));
         List<Stage> stages = new ArrayList<>();
         for (Table each : table.tables("stage", 1)) {
-            stages.add(stage(each, size));
+            stages.add(stage(each, size, relays));
         }
-        return new Timeline(name, about, size, source, allowed, stages);
+        return new Timeline(name, about, size, source, relays, allowed, stages);
     }
 
     private static Size size(Table table) {
@@ -72,7 +74,11 @@
                 (int) (table.duration("bytes_over", "60s", "1s", "10m") / 1_000_000_000L));
     }
 
-    private static Stage stage(Table table, Size size) {
+    private static RelayCount relays(Table table) {
+        return new RelayCount(table.whole("count", 0, 0, 200), table.flag("processes", false));
+    }
+
+    private static Stage stage(Table table, Size size, RelayCount relays) {
         Link.Kind kind = table.choice(Link.Kind.class, "link", Link.Kind.OPEN);
         long delay = table.duration("delay", "0", "0", "1m");
         if (delay > 0 != (kind == Link.Kind.SLOW)) {
@@ -98,7 +104,9 @@
                 table.duration("down", "1s", "0", "10m"), new Link(kind, delay), List.copyOf(zones),
                 table.duration("source_down", "0", "0", "30m"),
                 table.choice(Versions.class, "versions", Versions.SAME),
-                table.whole("stalled", 0, 0, size.hollow()));
+                table.whole("stalled", 0, 0, size.hollow()),
+                table.whole("relays_killed", 0, 0, relays.count()),
+                table.duration("relays_down", "1s", "0", "10m"));
     }
 
     /** Numbers as texts, the way this reader takes lists: {@code ["0", "3"]}. */
--- a/fleet/src/test/java/topazvalve/fleet/hollow/HeldTest.java
+++ b/fleet/src/test/java/topazvalve/fleet/hollow/HeldTest.java
@@ -46,6 +46,15 @@
         assertEquals(0, held.present());
     }
 
+    @Test
+    void whoIsGoneWithoutAChangeIsGoneByTheOneThatSaysSo() {
+        int first = truth.changed(0, State.READY, 0);
+        int gone = truth.changed(0, State.GONE, 5);
+        take(ListKind.FULL, entry(0, first, State.READY));
+        take(ListKind.DELTA, entry(0, 0, State.GONE));
+        assertEquals(List.of("0:1READY>" + gone + "GONE"), told);
+    }
+
     @Test
     void namesThatAreNotOursArePassedOver() {
         take(ListKind.DELTA, new Target("other", null, "", "", 1, State.READY, 1, 0),
--- a/fleet/src/test/java/topazvalve/fleet/run/FleetRunTest.java
+++ b/fleet/src/test/java/topazvalve/fleet/run/FleetRunTest.java
@@ -22,7 +22,8 @@
  */
 class FleetRunTest {
     /** Thousands say the same of every failure; kept, or the level would be forgotten. */
-    private static final Logger DISCOVERY = Logger.getLogger("discovery");
+    private static final List<Logger> TALKERS = List.of(Logger.getLogger("discovery"),
+            Logger.getLogger("source"), Logger.getLogger("relay"));
     private static final String FLEET = """
             name = "t"
             [fleet]
@@ -48,7 +49,7 @@
 
     @BeforeAll
     static void quiet() {
-        DISCOVERY.setLevel(Level.OFF);
+        TALKERS.forEach(each -> each.setLevel(Level.OFF));
     }
 
     private static Set<Rule> found(String text, int stages, Consumer<FleetRun> fault) {
@@ -98,6 +99,24 @@
         assertEquals(Set.of(), found(text, 1, run -> { }));
     }
 
+    @Test
+    void throughRelaysAllHaveAllInTheEnd() {
+        StringBuilder text = new StringBuilder(FLEET.replace("regions = 3", "regions = 3\nsources = 3")
+                + "[source]\nepoch = true\n[relays]\ncount = 4\n" + ALLOWED + CHANGES);
+        stage(text, "length = \"1s\"\nrelays_killed = 2\nrelays_down = \"500ms\"");
+        stage(text, "length = \"1s\"\nrelays_killed = 4\nrelays_down = \"100ms\"");
+        stage(text, "length = \"2s\"\nlink = \"cut\"\nregions = [\"0\"]");
+        stage(text, "length = \"1s\"\nrestart = 120\nfrom = \"nothing\"\ndown = \"100ms\"");
+        stage(text, "length = \"1s\"\nsource_down = \"500ms\"\nversions = \"lower\"");
+        stage(text, "length = \"1s\"\nstalled = 10");
+        try (FleetRun run = new FleetRun(TimelineFile.parse("t", text.toString()), 7)) {
+            for (StageResult each : run.play(told -> { })) {
+                assertTrue(each.clean(), each.name() + ": " + each.behind() + " behind, " + each.found()
+                        + run.oracle().examples());
+            }
+        }
+    }
+
     @Test
     void anOldLineSentAgainIsFound() {
         assertEquals(Set.of(Rule.WENT_BACK), found(FLEET + ALLOWED + CHANGES, 1, run -> {
