--- a/command/src/main/java/topazvalve/command/Fleet.java
+++ b/command/src/main/java/topazvalve/command/Fleet.java
@@ -39,6 +39,10 @@
             description = "what all chance is drawn from (${DEFAULT-VALUE})")
     private long seed;
 
+    @Option(names = "--packaged", defaultValue = "0",
+            description = "packaged sidecars that follow the first source beside them (${DEFAULT-VALUE})")
+    private int packaged;
+
     @Override
     public Integer call() throws IOException {
         Timeline timeline = timeline();
@@ -50,7 +54,7 @@
         TALKERS.forEach(each -> each.setLevel(Level.OFF));
         FleetReport report = new FleetReport(timeline, out);
         report.begin(seed);
-        try (FleetRun run = new FleetRun(timeline, seed)) {
+        try (FleetRun run = new FleetRun(timeline, seed, Real.home(), packaged)) {
             boolean clean = run.play(report::stage).stream().allMatch(StageResult::clean);
             report.end(run.oracle());
             return clean ? ExitCode.DONE : ExitCode.FAILED;
--- a/fleet/src/main/java/topazvalve/fleet/run/FleetReport.java
+++ b/fleet/src/main/java/topazvalve/fleet/run/FleetReport.java
@@ -56,6 +56,10 @@
                 result.figures().bytes() / result.seconds() / count,
                 result.figures().busiestWindow() / (double) timeline.allowed().windowSeconds(),
                 result.figures().busiestSecond(), 100 * result.hollowCores() / count, result.heapMb());
+        if (result.packagedBytes() > 0) {
+            out.printf(Locale.ROOT, "  a packaged one: %.3f%% of a core; %.1f MB resident%n",
+                    100 * result.packagedCores(), result.packagedBytes() / 1048576.0);
+        }
         if (timeline.relays().count() > 0) {
             out.printf(Locale.ROOT, "  relays: %.2f cores in all; the largest has %d MB%n",
                     result.relayCores(), result.relayBytes() >> 20);
@@ -85,6 +89,12 @@
         for (FleetOracle.Finding each : oracle.examples()) {
             out.printf(Locale.ROOT, "%8.1f s %s %s%n", each.at() / 1e9, each.rule(), each.text());
         }
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        double heap = runtime.totalMemory() - runtime.freeMemory();
+        out.printf(Locale.ROOT, "memory: %.0f MB of heap in use after a collection, %.1f KB for each hollow one;"
+                + " this process has %d MB resident%n", heap / 1048576, heap / 1024 / timeline.size().hollow(),
+                RelayProcesses.resident(ProcessHandle.current().pid()) >> 20);
         out.println(oracle.counts().isEmpty() ? "oracle: no rule was broken" : "oracle: " + oracle.counts());
         out.flush();
     }
--- a/fleet/src/main/java/topazvalve/fleet/run/FleetRun.java
+++ b/fleet/src/main/java/topazvalve/fleet/run/FleetRun.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.EnumMap;
@@ -51,6 +52,7 @@
     private final Sources sources;
     private final MultiThreadIoEventLoopGroup loops;
     private final HollowFleet fleet;
+    private final PackagedSidecars packaged;
     /** Null where sources are asked directly. */
     private final RelayTier relays;
     /** How many lists sidecars follow in all: relays make one of all sources'. */
@@ -61,6 +63,11 @@
 
     /** Sets all up, with the whole list made and nobody alive; all chance is drawn from {@code seed}. */
     public FleetRun(Timeline timeline, long seed) {
+        this(timeline, seed, Path.of("."), 0);
+    }
+
+    /** As above, beside so many packaged sidecars that were built under {@code home}. */
+    public FleetRun(Timeline timeline, long seed, Path home, int packagedOnes) {
         this.timeline = timeline;
         this.size = timeline.size();
         this.truth = new Truth(size.servers(), timeline.mostChanges());
@@ -71,6 +78,7 @@
         sources.settle();
         this.lists = timeline.relays().count() > 0 ? 1 : size.sources();
         this.relays = relays(seed);
+        this.packaged = new PackagedSidecars(home, packagedOnes, sources.address(0, 0));
         this.loops = new MultiThreadIoEventLoopGroup(size.loops(), NioIoHandler.newFactory());
         List<EventLoop> all = IntStream.range(0, size.loops()).mapToObj(each -> (EventLoop) loops.next())
                 .toList();
@@ -86,8 +94,8 @@
         List<RelaySettings> wanted = new ArrayList<>();
         for (int i = 0; i < timeline.relays().count(); i++) {
             int zone = i * size.zones() / timeline.relays().count();
-            wanted.add(RelaySettings.of("relay-" + i, loopback(RELAYS, i), IntStream.range(0, size.sources())
-                    .mapToObj(each -> new RelaySettings.SourceSettings("source-" + each,
+            wanted.add(RelaySettings.of("relay-" + i, loopback(RELAYS, i),
+                    IntStream.range(0, size.sources()).mapToObj(each -> new RelaySettings.SourceSettings("source-" + each,
                             List.of(sources.address(each, zone)))).toList()));
         }
         return wanted.isEmpty() ? null : timeline.relays().processes() ? new RelayProcesses(wanted)
@@ -140,6 +148,7 @@
     private final class Measured {
         private final long at = now();
         private final long cpu = fleet.cpu();
+        private final long packagedCpu = packaged.cpu();
         private final long relayCpu = relays == null ? 0 : relays.cpu();
         private final long[] sourceCpu = sources.cpu();
         private final long calls = sources.calls();
@@ -171,7 +180,9 @@
                     sources.refused() - refused, sources.busiest(), sources.bytes() - bytes,
                     (fleet.cpu() - cpu) / took, busiest,
                     relays == null ? 0 : (relays.cpu() - relayCpu) / took,
-                    relays == null ? -1 : relays.resident(), runtime.totalMemory() - runtime.freeMemory() >> 20,
+                    relays == null ? -1 : relays.resident(),
+                    (packaged.cpu() - packagedCpu) / took / Math.max(1, packaged.count()),
+                    packaged.resident(), runtime.totalMemory() - runtime.freeMemory() >> 20,
                     starved < 0 ? -1 : (Machine.starvedMicros() - starved) * 1e3 / took, found);
         }
     }
@@ -317,6 +328,7 @@
     @Override
     public void close() {
         fleet.close();
+        packaged.close();
         if (relays != null) {
             relays.close();
         }
--- a/fleet/src/main/java/topazvalve/fleet/run/StageResult.java
+++ b/fleet/src/main/java/topazvalve/fleet/run/StageResult.java
@@ -18,6 +18,8 @@
  * @param sourceCores CPU of the busiest source's loop, in cores
  * @param relayCores CPU of all relays, in cores
  * @param relayBytes resident memory of the largest relay; -1 without processes of their own
+ * @param packagedCores CPU of a packaged sidecar beside them, in cores; 0 without one
+ * @param packagedBytes resident memory of the largest of those; 0 without one
  * @param heapMb the process's heap in use at the end, garbage among it
  * @param starved the part of the time in which something on this machine waited for a processor; -1 if the
  *     system does not tell
@@ -25,7 +27,7 @@
  */
 public record StageResult(String name, int made, Figures figures, int behind, double seconds, long calls,
         long refused, int busiest, long sent, double hollowCores, double sourceCores, double relayCores,
-        long relayBytes, long heapMb,
+        long relayBytes, double packagedCores, long packagedBytes, long heapMb,
         double starved, Map<Rule, Integer> found) {
     /** Whether the oracle found nothing, and all had all. */
     public boolean clean() {
