What held a whole list is given back once it is read, not kept for as long as the watch

Cause: Lines kept one byte buffer for all objects of a call; a whole list of 5,700 (855 KB) left a megabyte in each watch for its life.

Change: a buffer that grew over 64 KB is dropped with the object it held. LinesTest was seen failing without it ("1000000 bytes are kept"); DiscoveryTest and RelaysTest pass.

--- a/fleet/src/main/java/topazvalve/fleet/run/FleetReport.java
+++ b/fleet/src/main/java/topazvalve/fleet/run/FleetReport.java
@@ -92,8 +92,9 @@
         System.gc();
         Runtime runtime = Runtime.getRuntime();
         double heap = runtime.totalMemory() - runtime.freeMemory();
-        out.printf(Locale.ROOT, "memory: %.0f MB of heap in use after a collection, %.1f KB for each hollow one;"
-                + " this process has %d MB resident%n", heap / 1048576, heap / 1024 / timeline.size().hollow(),
+        out.printf(Locale.ROOT, "memory: %.0f MB of heap in use after a collection, %.1f KB for each hollow "
+                + "one; this process has %d MB resident%n", heap / 1048576,
+                heap / 1024 / timeline.size().hollow(),
                 RelayProcesses.resident(ProcessHandle.current().pid()) >> 20);
         out.println(oracle.counts().isEmpty() ? "oracle: no rule was broken" : "oracle: " + oracle.counts());
         out.flush();
--- a/fleet/src/main/java/topazvalve/fleet/run/FleetRun.java
+++ b/fleet/src/main/java/topazvalve/fleet/run/FleetRun.java
@@ -94,9 +94,10 @@
         List<RelaySettings> wanted = new ArrayList<>();
         for (int i = 0; i < timeline.relays().count(); i++) {
             int zone = i * size.zones() / timeline.relays().count();
-            wanted.add(RelaySettings.of("relay-" + i, loopback(RELAYS, i),
-                    IntStream.range(0, size.sources()).mapToObj(each -> new RelaySettings.SourceSettings("source-" + each,
-                            List.of(sources.address(each, zone)))).toList()));
+            List<RelaySettings.SourceSettings> heard = IntStream.range(0, size.sources()).mapToObj(each ->
+                    new RelaySettings.SourceSettings("source-" + each, List.of(sources.address(each, zone))))
+                    .toList();
+            wanted.add(RelaySettings.of("relay-" + i, loopback(RELAYS, i), heard));
         }
         return wanted.isEmpty() ? null : timeline.relays().processes() ? new RelayProcesses(wanted)
                 : new EmbeddedRelays(wanted, seed);
--- a/sidecar/src/main/java/topazvalve/sidecar/discovery/Lines.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/Lines.java
@@ -11,6 +11,8 @@
  */
 final class Lines {
     private static final int LONGEST = 4 << 20;
+    /** Room that is kept for the next object; a change of a few hundred servers fits. */
+    static final int KEPT = 64 << 10;
 
     /** What is told, one after the other, until one of them says that it is enough. */
     interface Taker {
@@ -21,7 +23,14 @@
         boolean empty();
     }
 
-    private final ByteArrayOutputStream object = new ByteArrayOutputStream();
+    /** Tells how much it holds on to. */
+    private static final class Room extends ByteArrayOutputStream {
+        int bytes() {
+            return buf.length;
+        }
+    }
+
+    private Room object = new Room();
     private int depth;
     private boolean quoted;
     private boolean escaped;
@@ -61,10 +70,20 @@
 
     private byte[] whole() {
         byte[] text = object.toByteArray();
-        object.reset();
+        if (object.bytes() > KEPT) {
+            // Changes follow a whole list: what held a megabyte once is not kept for as long as the watch.
+            object = new Room();
+        } else {
+            object.reset();
+        }
         return text;
     }
 
+    /** Bytes that are kept for what comes. */
+    int room() {
+        return object.bytes();
+    }
+
     private void add(byte[] some, int from, int to) throws IOException {
         used = true;
         if (object.size() + to - from > LONGEST) {
