--- a/sidecar/src/main/java/topazvalve/sidecar/discovery/ListCall.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/discovery/ListCall.java
@@ -29,9 +29,9 @@
  */
 public final class ListCall extends SimpleChannelInboundHandler<HttpObject> {
     /** A call may wait in discovery's queue, for 2 s where that is known, before it is answered or fails. */
-    public static final long ANSWER_MS = 2_500;
+    private static final long ANSWER_MS = 2_500;
     /** A queue may be longer: so long an answer may take all the same, if the owner lets the late call be. */
-    public static final long LONGEST_ANSWER_MS = 5_000;
+    private static final long LONGEST_ANSWER_MS = 5_000;
     /**
      * An answered watch brings an empty line every 2 s. One that has fallen silent counts as told 6 s later:
      * by then it must be noticed, opened anew (a connect of up to 1 s, and a call that waits) and answered.
@@ -53,7 +53,7 @@
         void silent();
 
         /** No whole object came in time. It may come yet: a call that is let be fails later on. */
-        default void late() { }
+        void late();
 
         /** The call is over; {@code retryAfterMs} is for how long its peer asked to stay away, else 0. */
         void failed(String why, long retryAfterMs);
@@ -66,7 +66,6 @@
     private final Lines lines = new Lines();
     private Channel channel;
     private Future<?> silence;
-    private long answerMs;
     private boolean answered;
     private boolean over;
 
@@ -80,12 +79,6 @@
 
     /** Connects, within {@code connectMs}, and asks with this query: empty, or from its question mark on. */
     public void open(int connectMs, String query) {
-        open(connectMs, LONGEST_ANSWER_MS, query);
-    }
-
-    /** The same; it fails, and is never told of as late, where {@code answerMs} is {@link #ANSWER_MS}. */
-    public void open(int connectMs, long answerMs, String query) {
-        this.answerMs = answerMs;
         heard();
         new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMs)
@@ -124,11 +117,7 @@
     }
 
     private void late() {
-        if (answerMs <= ANSWER_MS) {
-            fail(NO_ANSWER);
-            return;
-        }
-        silence = loop.schedule(() -> fail(NO_ANSWER), answerMs - ANSWER_MS, TimeUnit.MILLISECONDS);
+        silence = loop.schedule(() -> fail(NO_ANSWER), LONGEST_ANSWER_MS - ANSWER_MS, TimeUnit.MILLISECONDS);
         owner.late();
     }
 
