--- a/capacity/src/main/java/topazvalve/capacity/measure/CallMeasurement.java
+++ b/capacity/src/main/java/topazvalve/capacity/measure/CallMeasurement.java
@@ -97,12 +97,13 @@
                 + "%.2f p99 %.2f p99.9 %.2f ms, through p50 %.2f p99 %.2f p99.9 %.2f ms", rate,
                 through.getTotalCount(), bad, at(direct, 50), at(direct, 99), at(direct, 99.9),
                 at(through, 50), at(through, 99), at(through, 99.9)));
-        if (at(direct, 99) > plan.budget().addedP99() / MS) {
-            points.say("  the direct way's p99 alone is over the plan's "
-                    + plan.budget().addedP99() / MS + " ms: this machine is too busy to decide this row");
-        }
         points.add(Quantity.CALL_CPU, rate, 100.0 * cpu / (TURNS * (ms + AFTER_MS) * MS));
         points.add(Quantity.CALL_ADDED_P50, rate, at(through, 50) - at(direct, 50));
+        if (at(direct, 99) > plan.budget().addedP99() / MS) {
+            points.say("  the direct way's p99 alone is over the plan's " + plan.budget().addedP99() / MS
+                    + " ms: this machine is too busy to tell what p99 and p99.9 the sidecar adds");
+            return;
+        }
         points.add(Quantity.CALL_ADDED_P99, rate, at(through, 99) - at(direct, 99));
         points.add(Quantity.CALL_ADDED_P999, rate, at(through, 99.9) - at(direct, 99.9));
     }
--- a/capacity/src/main/java/topazvalve/capacity/measure/CapacityMeasurement.java
+++ b/capacity/src/main/java/topazvalve/capacity/measure/CapacityMeasurement.java
@@ -37,6 +37,9 @@
         say.accept("| slope | per | at 0 | for each | r2 | worst | sizes | bend |");
         say.accept("| --- | --- | --- | --- | --- | --- | --- | --- |");
         slopes.all().forEach((quantity, fit) -> say.accept(line(quantity, fit)));
+        if (!slopes.has(Quantity.CALL_ADDED_P99)) {
+            say.accept("not decided: the delay added to a call, which has no line in the table");
+        }
         return Needs.of(plan, slopes);
     }
 
--- a/capacity/src/test/java/topazvalve/capacity/need/NeedsTest.java
+++ b/capacity/src/test/java/topazvalve/capacity/need/NeedsTest.java
@@ -139,6 +139,23 @@
                 String.join("\n", lines));
     }
 
+    @Test
+    void aDelayThatTheMachineCouldNotTellHasNoLine() {
+        assertEquals(2, delays(slopes));
+        Slopes without = new Slopes();
+        slopes.all().forEach((quantity, fit) -> {
+            if (quantity != Quantity.CALL_ADDED_P99) {
+                without.put(quantity, fit);
+            }
+        });
+        assertEquals(0, delays(without));
+    }
+
+    private long delays(Slopes measured) {
+        return Needs.of(plan, measured).needs().stream().filter(each -> each.what().startsWith("delay"))
+                .count();
+    }
+
     @Test
     void whatWasNotMeasuredIsNotGuessed() {
         assertTrue(assertThrows(IllegalStateException.class, () -> Needs.of(plan, new Slopes())).getMessage()
