--- a/fleet/src/main/java/topazvalve/fleet/hollow/Hollow.java
+++ b/fleet/src/main/java/topazvalve/fleet/hollow/Hollow.java
@@ -44,6 +44,7 @@
     private Life life;
     private boolean empty;
     private boolean answered;
+    private boolean starting;
     private long reachableSince;
     private boolean reachable = true;
 
@@ -158,6 +159,7 @@
 
     /** Starts with the list that it is given; nothing of the life before is left. */
     void start(long seed, Known known) {
+        starting = false;
         held.set(known);
         empty = known.rev() == 0;
         answered = false;
@@ -166,6 +168,16 @@
         life.start(known);
     }
 
+    /** A start is planned, so that nobody takes it for done with. */
+    void starting() {
+        starting = true;
+    }
+
+    /** Whether it is to start and has not. */
+    boolean isStarting() {
+        return starting;
+    }
+
     /** Dies: its connections end, and nothing it had planned happens. */
     void kill() {
         if (life != null) {
--- a/fleet/src/main/java/topazvalve/fleet/hollow/HollowFleet.java
+++ b/fleet/src/main/java/topazvalve/fleet/hollow/HollowFleet.java
@@ -94,6 +94,7 @@
     public void start(int instance, Known known, long delayNanos) {
         long life = seed * 31 + instance + ++starts * 1_000_003L;
         Hollow one = instances.get(instance);
+        one.loop().execute(one::starting);
         one.loop().schedule(() -> one.start(life, known), delayNanos, TimeUnit.NANOSECONDS);
     }
 
--- a/fleet/src/main/java/topazvalve/fleet/hollow/LoopSide.java
+++ b/fleet/src/main/java/topazvalve/fleet/hollow/LoopSide.java
@@ -161,11 +161,11 @@
         return missing > 0;
     }
 
-    /** How many of those that are owed anything lack some of what is true now; on the loop. */
+    /** How many of those that are owed anything lack some of what is true now, or are to start; on the loop. */
     int behind() {
         int behind = 0;
         for (Hollow each : instances) {
-            boolean lacks = each.owed() && (!each.answered() || each.empty());
+            boolean lacks = each.isStarting() || each.owed() && (!each.answered() || each.empty());
             for (int server = each.source(); !lacks && each.owed() && server < truth.servers();
                     server += lists) {
                 lacks = !oracle.inForce(truth.latest(server), each.held().change(server),
--- a/fleet/src/main/java/topazvalve/fleet/run/FleetRun.java
+++ b/fleet/src/main/java/topazvalve/fleet/run/FleetRun.java
@@ -129,6 +129,7 @@
     /** Starts all with the whole list known; then plays every stage. Tells of each as it ends. */
     public List<StageResult> play(Consumer<StageResult> told) {
         List<StageResult> results = new ArrayList<>();
+        awaitRelays();
         Known[] known = known();
         Measured begun = new Measured();
         for (int i = 0; i < fleet.size(); i++) {
@@ -145,6 +146,14 @@
         return results;
     }
 
+    /** Waits until every relay follows every source; a minute at most, since the run shows what is wrong. */
+    private void awaitRelays() {
+        long latest = now() + 60_000_000_000L;
+        while (sources.watches() < timeline.relays().count() * size.sources() && now() < latest) {
+            LockSupport.parkNanos(POLL);
+        }
+    }
+
     /** What was true at the start of a stage, so that its end can say what came in between. */
     private final class Measured {
         private final long at = now();
--- a/fleet/src/main/java/topazvalve/fleet/run/Sources.java
+++ b/fleet/src/main/java/topazvalve/fleet/run/Sources.java
@@ -85,6 +85,11 @@
         return sum(SourceCounts::refused);
     }
 
+    /** Watches that are open now at all sources. */
+    int watches() {
+        return (int) sum(SourceCounts::watches);
+    }
+
     long bytes() {
         return sum(SourceCounts::bytes);
     }
--- a/fleet/src/test/java/topazvalve/fleet/run/FleetRunTest.java
+++ b/fleet/src/test/java/topazvalve/fleet/run/FleetRunTest.java
@@ -99,6 +99,17 @@
         assertEquals(Set.of(), found(text, 1, run -> { }));
     }
 
+    @Test
+    void aStageWaitsForThoseThatAreStillDownAtItsEnd() {
+        String text = FLEET + ALLOWED + "[[stage]]\nname = \"s\"\nlength = \"10ms\"\nsettle = \"60s\"\n"
+                + "restart = 120\ndown = \"1s\"\n";
+        try (FleetRun run = new FleetRun(TimelineFile.parse("t", text), 7)) {
+            StageResult result = run.play(told -> { }).get(1);
+            assertTrue(result.clean(), result.toString());
+            assertEquals(120, result.figures().answers().getTotalCount());
+        }
+    }
+
     @Test
     void throughRelaysAllHaveAllInTheEnd() {
         StringBuilder text = new StringBuilder(FLEET.replace("regions = 3", "regions = 3\nsources = 3")
