--- a/fleet/src/main/java/topazvalve/fleet/hollow/LoopSide.java
+++ b/fleet/src/main/java/topazvalve/fleet/hollow/LoopSide.java
@@ -161,7 +161,7 @@
         return missing > 0;
     }
 
-    /** How many of those that are owed anything lack some of what is true now, or are to start; on the loop. */
+    /** How many lack some of what is true now and owed to them, or are to start; on the loop. */
     int behind() {
         int behind = 0;
         for (Hollow each : instances) {
