A test of late calls allows for the late call's own end on a slow machine

Seen once at a load of 28: the late call's answer could not be written, "Socket is closed": its own 5 s were over before. Then, and only where 5 s have passed, the closed connection is taken for what the test asks for: nothing of it is heard. All else as before.

--- a/sidecar/src/test/java/topazvalve/sidecar/DiscoveryTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/DiscoveryTest.java
@@ -282,6 +282,7 @@
         BlockingQueue<Socket> asked = new LinkedBlockingQueue<>();
         try (Stub stub = new Stub((socket, head) -> asked.add(socket))) {
             Discovery discovery = discovery(stub);
+            long began = System.nanoTime();
             loop.submit(() -> discovery.watch(true)).sync();
             assertEquals(new Told(ListKind.FAILED, List.of()), Stub.next(told));
             loop.submit(() -> discovery.watch(true)).sync();
@@ -289,8 +290,13 @@
             Socket next = Stub.next(asked);
             Stub.write(next, CHUNKED + chunk("\n"));
             assertEquals(new Told(ListKind.DELTA, List.of()), Stub.next(told));
-            Stub.write(late, CHUNKED + chunk("{\"rev\":40,\"all\":true,\"targets\":["
-                    + entry("SERVING") + "]}\n"));
+            try {
+                Stub.write(late, CHUNKED + chunk("{\"rev\":40,\"all\":true,\"targets\":["
+                        + entry("SERVING") + "]}\n"));
+            } catch (IOException ended) {
+                // On a machine that took so long the late call's own time is over, and it has been closed.
+                assertTrue(System.nanoTime() - began >= TimeUnit.SECONDS.toNanos(5), ended.toString());
+            }
             assertEquals("end", Stub.next(stub.ended));
             assertEquals(0, told.size());
             Stub.write(next, chunk("{\"rev\":42,\"all\":false,\"targets\":[]}\n"));
