--- a/relay/src/main/java/topazvalve/relay/Relay.java
+++ b/relay/src/main/java/topazvalve/relay/Relay.java
@@ -51,7 +51,7 @@
     private static final long PARK_MS = 2_250;
     /** Whole lists that slow callers still hold, of different versions; each is encoded once for all. */
     private static final int MOST_WHOLE = 8;
-    /** From one line of changes to the next: what comes sooner is gathered, as each line costs each reader. */
+    /** From one line of changes to the next: what comes sooner is gathered, as lines cost each reader. */
     static final long GATHER_NS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final int LONGEST_HEAD = 4 << 10;
     private static final int BACKLOG = 1_024;
