--- a/core/src/main/java/topazvalve/core/exchange/ExchangeLifecycle.java
+++ b/core/src/main/java/topazvalve/core/exchange/ExchangeLifecycle.java
@@ -128,6 +128,7 @@
         if (exchange == null || !exchange.isOpen()) {
             return;
         }
+        EventTrace.clientDisconnected(exchange.request.message());
         complete(exchange, () -> {});
         abandon(exchange);
         if (exchange.respondingAttempt() != null) {
--- a/core/src/main/java/topazvalve/core/pool/PooledConnection.java
+++ b/core/src/main/java/topazvalve/core/pool/PooledConnection.java
@@ -59,6 +59,7 @@
     /** Connects to the endpoint and leases the connection to {@code first}. */
     void open(Attempt<Q, A> first, int connectTimeoutMillis) {
         first.assignConnection(() -> close(CloseReason.ATTEMPT_ABORTED));
+        EventTrace.attemptWaits(first.message(), number, "being opened");
         pool.add(this);
         new Bootstrap()
                 .group(loop)
@@ -101,6 +102,7 @@
     /** Leases the connection to an attempt after a delay; if it closes before, another one is opened immediately. */
     void reserve(Attempt<Q, A> attempt, long delayNanos) {
         reservedFor = attempt;
+        EventTrace.attemptWaits(attempt.message(), number, "resting");
         loop.schedule(this::reuseDelayOver, Math.max(0, delayNanos), TimeUnit.NANOSECONDS);
     }
 
--- a/core/src/main/java/topazvalve/core/time/EventLoopScheduler.java
+++ b/core/src/main/java/topazvalve/core/time/EventLoopScheduler.java
@@ -4,6 +4,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import topazvalve.core.trace.EventTrace;
 
 /**
  * The scheduler of an event loop. With stall detection it notices when the loop has stalled, for example because of
@@ -22,6 +23,7 @@
     private final long epochOffsetNanos = System.currentTimeMillis() * NANOS_PER_MILLI - System.nanoTime();
     private final EventLoop loop;
     private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
+    private final StallStatistics stallStatistics = new StallStatistics();
     private boolean detectsStalls;
     private boolean catchingUp;
     private long lastHeartbeatNanos = System.nanoTime();
@@ -40,6 +42,11 @@
         return scheduler;
     }
 
+    /** Returns the stalls that were noticed; empty without stall detection. */
+    public StallStatistics stallStatistics() {
+        return stallStatistics;
+    }
+
     @Override
     public long nowNanos() {
         return System.nanoTime() + epochOffsetNanos;
@@ -80,10 +87,11 @@
      * of stream that follows the data.
      */
     private void detectStall() {
-        if (detectsStalls
-                && !catchingUp
-                && System.nanoTime() - lastHeartbeatNanos > HEARTBEAT_INTERVAL_NANOS + STALL_THRESHOLD_NANOS) {
+        long silentNanos = System.nanoTime() - lastHeartbeatNanos;
+        if (detectsStalls && !catchingUp && silentNanos > HEARTBEAT_INTERVAL_NANOS + STALL_THRESHOLD_NANOS) {
             catchingUp = true;
+            stallStatistics.record(silentNanos);
+            EventTrace.stalled(silentNanos);
             afterNextSelect(loop, () -> afterNextSelect(loop, this::runDeferredActions));
         }
     }
--- a/core/src/main/java/topazvalve/core/trace/EventTrace.java
+++ b/core/src/main/java/topazvalve/core/trace/EventTrace.java
@@ -26,6 +26,27 @@
         }
     }
 
+    /** An attempt waits for a connection: {@code what} says which. */
+    public static void attemptWaits(Object request, long connection, String what) {
+        if (LOG.isDebugEnabled()) {
+            LOG.debug("request {}: waits for connection {}, {}", request, connection, what);
+        }
+    }
+
+    /** The event loop has done nothing for this long, except for at most one heartbeat interval. */
+    public static void stalled(long nanos) {
+        if (LOG.isDebugEnabled()) {
+            LOG.debug("event loop stalled for {} us", nanos / NANOS_PER_MICRO);
+        }
+    }
+
+    /** A client has disconnected before it had its answer. */
+    public static void clientDisconnected(Object request) {
+        if (LOG.isDebugEnabled()) {
+            LOG.debug("request {}: client disconnected", request);
+        }
+    }
+
     /** An attempt gets a connection that had carried {@code earlierAttempts} and was idle for this long. */
     public static void connectionLeased(
             Object request, Object address, long connection, int earlierAttempts, long idleNanos) {
--- a/sidecar/src/main/java/topazvalve/sidecar/HttpProxy.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/HttpProxy.java
@@ -10,7 +10,6 @@
 import topazvalve.core.requestclass.RequestClassRegistry;
 import topazvalve.core.stream.ByteBudget;
 import topazvalve.core.time.EventLoopScheduler;
-import topazvalve.core.time.Scheduler;
 import topazvalve.discovery.client.AutomaticWatchTiming;
 import topazvalve.discovery.client.DiscoveryClient;
 import topazvalve.discovery.client.RelaySelector;
@@ -27,6 +26,7 @@
     private final ConnectionPools<UpstreamRequest, UpstreamResponse> pools;
     private final DiscoveryClient discovery;
     private final HttpFrontend frontend;
+    private final EventLoopScheduler scheduler;
 
     /**
      * Creates a proxy; {@link #start} connects it to discovery.
@@ -45,7 +45,7 @@
             ByteBudget budget,
             List<InetSocketAddress> relays) {
         RequestClassRegistry classes = new RequestClassRegistry();
-        Scheduler scheduler = EventLoopScheduler.detectingStalls(loop);
+        scheduler = EventLoopScheduler.detectingStalls(loop);
         pools = new ConnectionPools<>(
                 loop,
                 scheduler,
@@ -83,9 +83,10 @@
         discovery.changeAddress(config.discovery());
     }
 
-    /** Appends the metrics of the connection pools, and those of the endpoint list if it comes from relays. */
+    /** Appends the metrics of the connection pools, the event loop, and the endpoint list if it comes from relays. */
     void printMetrics(StringBuilder to) {
         pools.appendMetrics(to);
+        scheduler.stallStatistics().appendTo(to);
         discovery.printMetrics(to);
     }
 
