Simulation: sidecar processes that are stopped and continued, and rules on their writes

A server's arrival time is the earliest possible one, so that a held-up harness accuses nobody; an answer that is late because its sidecar was stopped is excused, what is forwarded is not.

--- a/simulation/src/main/java/topazvalve/simulation/model/FaultInjector.java
+++ b/simulation/src/main/java/topazvalve/simulation/model/FaultInjector.java
@@ -6,6 +6,7 @@
 import topazvalve.simulation.scenario.Fault;
 import topazvalve.simulation.scenario.Scenario;
 import topazvalve.simulation.scenario.Scenario.Chaos;
+import topazvalve.toml.Range;
 import topazvalve.toml.Table;
 
 /** Injects the faults of a scenario at their times. Each fault draws the servers it affects from its own stream. */
@@ -25,6 +26,12 @@
     private static final double DRAWN_RATE_DIVISOR = 10;
 
     private static final long DRAWN_DELAY_NANOS = 20_000_000;
+    /** The longest of the stalls that a randomly drawn fault causes. */
+    private static final long DRAWN_STALL_NANOS = 1_500_000_000;
+
+    private static final long MIN_STALL_NANOS = 50_000_000;
+    /** The time between two stalls of an instance. */
+    private static final Range STALL_PAUSE_NANOS = new Range(5e7, 8e8);
 
     /** A drained server rejects new attempts in the last third of the drain. */
     private static final int DRAIN_REJECTION_DIVISOR = 3;
@@ -67,8 +74,9 @@
         if (isRate) {
             size = Math.min(MAX_DRAWN_RATE, size / DRAWN_RATE_DIVISOR);
         }
+        long drawnDelay = kind == Fault.Kind.INSTANCE_STALL ? DRAWN_STALL_NANOS : DRAWN_DELAY_NANOS;
         double affectedFraction = chaos.affectedFraction().interpolate(random.nextDouble());
-        return new Fault(kind, start, length, affectedFraction, size, DRAWN_DELAY_NANOS);
+        return new Fault(kind, start, length, affectedFraction, size, drawnDelay);
     }
 
     private void begin(Fault fault, RandomStream random) {
@@ -81,6 +89,7 @@
             case DELAY -> delayPackets(fault);
             case DISCOVERY_DOWN -> takeDiscoveryDown(fault);
             case INSTANCE_RESTART -> restartInstances(fault, random);
+            case INSTANCE_STALL -> stallInstances(fault, random);
             case SPOIL -> corruptResponses(fault, random);
             case EXTRA -> addExtraData(fault, random);
             case SILENT -> setModeFor(fault, random, ServerMode.SILENT);
@@ -157,6 +166,33 @@
         scheduleEnd(fault, () -> {});
     }
 
+    private void stallInstances(Fault fault, RandomStream random) {
+        int count = affectedCount(fault.affectedFraction(), target.instanceCount());
+        int first = random.nextInt(target.instanceCount());
+        long end = target.clock().now() + fault.length();
+        for (int i = 0; i < count; i++) {
+            scheduleStall((first + i) % target.instanceCount(), fault.extraDelay(), end, random);
+        }
+        scheduleEnd(fault, () -> {});
+    }
+
+    /** Stalls an instance after a pause, for a length of any order of magnitude, and then again until the end. */
+    private void scheduleStall(int instance, long longestNanos, long end, RandomStream random) {
+        long at = target.clock().now() + (long) STALL_PAUSE_NANOS.interpolate(random.nextDouble());
+        if (at >= end) {
+            return;
+        }
+        double exponent = random.nextDouble();
+        double nanos = MIN_STALL_NANOS * Math.pow((double) longestNanos / MIN_STALL_NANOS, exponent);
+        target.clock().scheduleAt(at, () -> {
+            target.stallInstance(instance, (long) nanos);
+            target.clock()
+                    .scheduleAt(
+                            target.clock().now() + (long) nanos,
+                            () -> scheduleStall(instance, longestNanos, end, random));
+        });
+    }
+
     private void slowDown(Fault fault, List<OrderServer> servers) {
         servers.forEach(each -> each.setSlowdown(fault.size()));
         scheduleEnd(fault, () -> servers.forEach(each -> each.setSlowdown(1)));
--- a/simulation/src/main/java/topazvalve/simulation/model/FaultTarget.java
+++ b/simulation/src/main/java/topazvalve/simulation/model/FaultTarget.java
@@ -13,6 +13,9 @@
     /** Kills a sidecar instance and starts it again. */
     void restartInstance(int number);
 
+    /** Holds a sidecar instance up: it does nothing for this long. */
+    void stallInstance(int number, long nanos);
+
     /** Replaces a server by one with a new id, at the same or another address; returns the replacement. */
     OrderServer replaceServer(OrderServer old, boolean sameAddress);
 
--- a/simulation/src/main/java/topazvalve/simulation/oracle/Trace.java
+++ b/simulation/src/main/java/topazvalve/simulation/oracle/Trace.java
@@ -26,6 +26,7 @@
     int responses;
     long responseAt = Long.MAX_VALUE;
     boolean responseWaived;
+    boolean delayExcused;
     /** When the client disconnected; {@link Long#MAX_VALUE} while it is connected. */
     long disconnectedAt = Long.MAX_VALUE;
 
--- a/simulation/src/main/java/topazvalve/simulation/real/RunState.java
+++ b/simulation/src/main/java/topazvalve/simulation/real/RunState.java
@@ -31,6 +31,10 @@
     /** The most times that an attempt on a new connection crosses zones before the server has received it. */
     private static final int MAX_ZONE_CROSSINGS = 4;
 
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    /** How long after a stall a sidecar may be late with what waited for it. */
+    private static final long STALL_RECOVERY_NANOS = 200_000_000;
+
     private static final long RESTART_DELAY_MILLIS = 100;
     /** Initial attempt counters for each server of the scenario, since replacement servers get new ids. */
     private static final int COUNTERS_PER_SERVER = 4;
@@ -192,6 +196,27 @@
         loop.schedule(() -> restartSidecar(number, cachedList, newSeed), RESTART_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns the earliest time from the start of the run at which data that is being read now can have arrived. */
+    long earliestArrival() {
+        return sinceStart(clock.earliestArrival());
+    }
+
+    @Override
+    public void stallInstance(int number, long nanos) {
+        try {
+            Runnable resume = sidecars.suspend(number, elapsed(), nanos);
+            loop.schedule(resume, nanos, TimeUnit.NANOSECONDS);
+            recordEvent("sidecar " + number + " stopped for " + nanos / NANOS_PER_MILLI + " ms");
+        } catch (IOException e) {
+            recordEvent("sidecar " + number + " could not be stopped: " + e.getMessage());
+        }
+    }
+
+    /** Returns whether an instance was held up while a request was open, or shortly before. */
+    boolean wasStalled(int instance, Trace trace) {
+        return sidecars.wasSuspendedSince(instance, trace.sentAt() - STALL_RECOVERY_NANOS);
+    }
+
     private void restartSidecar(int number, ObjectNode cachedList, long newSeed) {
         try {
             sidecars.start(number, cachedList, newSeed);
--- a/simulation/src/main/java/topazvalve/simulation/real/ServerHandler.java
+++ b/simulation/src/main/java/topazvalve/simulation/real/ServerHandler.java
@@ -19,6 +19,8 @@
 /** One connection to an order server. Passes requests to the model after the simulated network delay. */
 final class ServerHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final String REQUEST_ID_HEADER = "Req-Id";
+    private static final String DEADLINE_HEADER = "Req-Deadline-Ms";
+    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final String DECLINED_HEADER = "Srv-Declined";
     private static final String LIVENESS_PATH = "/alive";
     private static final String LOAD_PATH = "/metrics/load";
@@ -47,12 +49,17 @@
             respond(context.channel(), status, "", false);
             return;
         }
+        run.oracle().bytesArrived(sent.trace(), toldNanos(request), run.earliestArrival());
         HttpAttempt attempt = new HttpAttempt(run, server, context.channel(), id, sent);
         current = attempt;
         long delay = run.nextDelayNanos(sent.instance(), server);
         run.clock().scheduleAt(run.clock().now() + delay, () -> deliver(attempt, sent));
     }
 
+    private static long toldNanos(FullHttpRequest request) {
+        return Long.parseLong(request.headers().get(DEADLINE_HEADER, "0")) * NANOS_PER_MILLI;
+    }
+
     private void deliver(HttpAttempt attempt, SentRequest sent) {
         ServerMode mode = server.mode();
         if (mode == ServerMode.VANISHED || mode == ServerMode.DOWN) {
--- a/simulation/src/main/java/topazvalve/simulation/real/SidecarFleet.java
+++ b/simulation/src/main/java/topazvalve/simulation/real/SidecarFleet.java
@@ -31,6 +31,8 @@
     private final List<Integer> discoveryPorts = new ArrayList<>();
     /** By sidecar, the time of its last kill in nanoseconds from the start of the run. */
     private final Map<Integer, Long> killedAt = new HashMap<>();
+    /** By sidecar, the end of its last stall in nanoseconds from the start of the run. */
+    private final Map<Integer, Long> stallEnds = new HashMap<>();
 
     SidecarFleet(Scenario scenario, Path workDirectory) {
         this.scenario = scenario;
@@ -72,6 +74,22 @@
         sidecars.get(number).kill();
     }
 
+    /**
+     * Stops a sidecar as it is; it continues after the returned action has run.
+     *
+     * @param at the time from the start of the run in nanoseconds
+     * @param nanos how long it will be stopped, in nanoseconds
+     */
+    Runnable suspend(int number, long at, long nanos) throws IOException {
+        stallEnds.put(number, at + nanos);
+        return sidecars.get(number).suspend();
+    }
+
+    /** Returns whether a sidecar was stopped by {@link #suspend} at a time or later. */
+    boolean wasSuspendedSince(int number, long time) {
+        return stallEnds.getOrDefault(number, NEVER) >= time;
+    }
+
     /** Returns whether a sidecar was killed at a time or later. */
     boolean wasKilledSince(int number, long time) {
         return killedAt.getOrDefault(number, NEVER) >= time;
--- a/simulation/src/main/java/topazvalve/simulation/real/SidecarProcess.java
+++ b/simulation/src/main/java/topazvalve/simulation/real/SidecarProcess.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -65,6 +66,23 @@
         return process != null && process.isAlive();
     }
 
+    /**
+     * Stops the process as it is; it continues after the returned action has run, unless it was killed.
+     *
+     * @throws IOException if the signal can't be sent
+     */
+    Runnable suspend() throws IOException {
+        Process suspended = process;
+        ChildProcesses.signal(suspended, "STOP");
+        return () -> {
+            try {
+                ChildProcesses.signal(suspended, "CONT");
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        };
+    }
+
     void kill() {
         if (process != null) {
             process.destroyForcibly();
--- a/simulation/src/main/java/topazvalve/simulation/scenario/Scenario.java
+++ b/simulation/src/main/java/topazvalve/simulation/scenario/Scenario.java
@@ -129,6 +129,8 @@
      * @param earlyDisconnectFraction the fraction of requests whose client disconnects early
      * @param slowReaderFraction the fraction of clients that read responses slowly; on real sockets only
      * @param newConnectionFraction the fraction of requests that clients send on a new connection; on real sockets only
+     * @param stayFraction the fraction of requests whose client keeps its connection open after its deadline; on real
+     *     sockets only
      */
     public record Clients(
             double retryFraction,
@@ -137,7 +139,8 @@
             long maxRetryAfter,
             double earlyDisconnectFraction,
             double slowReaderFraction,
-            double newConnectionFraction) {
+            double newConnectionFraction,
+            double stayFraction) {
 
         /**
          * Returns how long a client waits before a retry, in nanoseconds.
--- a/simulation/src/main/java/topazvalve/simulation/scenario/ScenarioFile.java
+++ b/simulation/src/main/java/topazvalve/simulation/scenario/ScenarioFile.java
@@ -167,7 +167,8 @@
                 table.duration("max_retry_after", "2s", "0", "10m"),
                 table.number("impatient", 0.0, 0, 1),
                 table.number("slow_readers", 0.0, 0, 1),
-                table.number("reconnect", 0.0, 0, 1));
+                table.number("reconnect", 0.0, 0, 1),
+                table.number("stay", 0.0, 0, 1));
     }
 
     private static Chaos chaos(Table table) {
--- a/simulation/src/main/java/topazvalve/simulation/virtual/AttemptSender.java
+++ b/simulation/src/main/java/topazvalve/simulation/virtual/AttemptSender.java
@@ -49,6 +49,9 @@
     private void markWritten(VirtualAttempt attempt) {
         attempt.written = true;
         simulation.oracle().attemptInFlight(attempt.request.trace);
+        simulation
+                .oracle()
+                .bytesArrived(attempt.request.trace, instance.toldNanos(attempt.request), simulation.elapsed());
     }
 
     /** The connection request has reached the server. */
--- a/simulation/src/main/java/topazvalve/simulation/virtual/VirtualInstance.java
+++ b/simulation/src/main/java/topazvalve/simulation/virtual/VirtualInstance.java
@@ -220,6 +220,11 @@
         return request.finished || attemptNumber >= simulation.attemptLimit() || now >= request.deadline;
     }
 
+    /** Returns how long an attempt that is written now tells its server that the instance will wait. */
+    long toldNanos(VirtualRequest request) {
+        return request.deadline - now();
+    }
+
     @Override
     public void cancelAttempt(long requestId, int attemptNumber) {
         VirtualRequest request = requests.get(requestId);
--- a/simulation/src/main/java/topazvalve/simulation/virtual/VirtualSimulation.java
+++ b/simulation/src/main/java/topazvalve/simulation/virtual/VirtualSimulation.java
@@ -142,6 +142,12 @@
         recorder.instanceRestarted(number, elapsed());
     }
 
+    /** Not simulated: in virtual time an instance decides and writes in no time. */
+    @Override
+    public void stallInstance(int number, long nanos) {
+        recordEvent("instance " + number + " not stalled: stalls are played on real sockets only");
+    }
+
     @Override
     public OrderServer replaceServer(OrderServer old, boolean sameAddress) {
         OrderServer replacement = topology.fleet().replace(old);
--- a/simulation/src/test/java/topazvalve/simulation/oracle/ClientDisconnectRuleTest.java
+++ b/simulation/src/test/java/topazvalve/simulation/oracle/ClientDisconnectRuleTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.Map;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import topazvalve.simulation.scenario.Scenario;
@@ -46,6 +47,30 @@
         assertEquals(Map.of(Rule.CLIENT_LEFT, 1), run(attempts, LATEST_ALLOWED + 1));
     }
 
+    /** The first bytes may arrive 0.1 s after the close or 0.15 s after the deadline, with an error of 10 ms. */
+    @Test
+    void bytesAreJudgedByTheCloseTheDeadlineAndTheTimeTold() {
+        long deadline = 2_000 * MS;
+        assertEquals(Map.of(), bytesArrived(DISCONNECTED_AT, 0, DISCONNECTED_AT + 110 * MS));
+        assertEquals(Map.of(Rule.CLIENT_LEFT, 1), bytesArrived(DISCONNECTED_AT, 0, DISCONNECTED_AT + 110 * MS + 1));
+        assertEquals(Map.of(), bytesArrived(deadline, 0, deadline + 110 * MS));
+        assertEquals(Map.of(), bytesArrived(Long.MAX_VALUE, 0, deadline + 160 * MS));
+        assertEquals(Map.of(Rule.AFTER_DEADLINE, 1), bytesArrived(Long.MAX_VALUE, 0, deadline + 160 * MS + 1));
+        assertEquals(Map.of(), bytesArrived(Long.MAX_VALUE, 1_160 * MS, deadline - 1_000 * MS));
+        assertEquals(Map.of(Rule.TIME_TOLD, 1), bytesArrived(Long.MAX_VALUE, 1_160 * MS + 1, deadline - 1_000 * MS));
+    }
+
+    private static Map<Rule, Integer> bytesArrived(long closedAt, long toldNanos, long at) {
+        Scenario scenario = ScenarioFile.parse("left.toml", SCENARIO);
+        Oracle oracle = new Oracle(scenario.limits(), TOLERANCE, MAX_FLIGHT);
+        Trace trace = new Trace(1, 0, scenario.classes().get(0), 0, 2_000 * MS);
+        if (closedAt < Long.MAX_VALUE) {
+            oracle.clientClosed(trace, closedAt);
+        }
+        oracle.bytesArrived(trace, toldNanos, at);
+        return oracle.counts();
+    }
+
     private static Map<Rule, Integer> run(int attempts, long lastAttemptAt) {
         Scenario scenario = ScenarioFile.parse("left.toml", SCENARIO);
         Oracle oracle = new Oracle(scenario.limits(), TOLERANCE, MAX_FLIGHT);
--- a/simulation/src/test/java/topazvalve/simulation/virtual/VirtualSimulationTest.java
+++ b/simulation/src/test/java/topazvalve/simulation/virtual/VirtualSimulationTest.java
@@ -83,6 +83,7 @@
                     case OVERLOAD, SHARED_SLOW -> "size = 3\n";
                     case LOSS -> "size = 0.2\n";
                     case DELAY -> "by = \"50ms\"\n";
+                    case INSTANCE_STALL -> "share = 0.3\nby = \"500ms\"\n";
                     case DISCOVERY_DOWN -> "";
                     case SLOW -> "share = 0.3\nsize = 4\n";
                     case SPOIL -> "share = 0.3\nsize = 0.5\n";
