--- /dev/null
+++ b/sidecar/src/test/java/topazvalve/sidecar/WriteAfterStallTest.java
@@ -0,0 +1,248 @@
+package topazvalve.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static topazvalve.sidecar.FrontendTestHelper.assertNothingElseForwarded;
+import static topazvalve.sidecar.FrontendTestHelper.blockEventLoop;
+import static topazvalve.sidecar.SidecarFixture.lookRequest;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import topazvalve.sidecar.SidecarFixture.TestClient;
+
+/** Nothing is written to a server on knowledge from before a stall; docs/design/crossings.md lists the cases. */
+class WriteAfterStallTest {
+    /** Longer than the time within which a disconnect must be noticed. */
+    private static final long STALL_MILLIS = 130;
+    /** Longer than {@link #SHORT_DEADLINE_MILLIS} and the slack of 150 ms together. */
+    private static final long LONG_STALL_MILLIS = 400;
+
+    private static final int SHORT_DEADLINE_MILLIS = 120;
+    private static final int LONG_DEADLINE_MILLIS = 1000;
+    private static final int DEADLINE_SLACK_MILLIS = 150;
+    private static final int MAX_TRIES = 200;
+    /** Shorter than the time after which {@link LoopHold#beforeTimers} begins. */
+    private static final int DEADLINE_WITHIN_HOLD_MILLIS = 50;
+
+    private enum Departure {
+        CLOSE,
+        RESET,
+        HALF_CLOSE;
+
+        void apply(TestClient client) throws IOException {
+            switch (this) {
+                case RESET -> {
+                    StubServer.reset(client.socket);
+                    client.close();
+                }
+                case HALF_CLOSE -> client.socket.shutdownOutput();
+                default -> client.close();
+            }
+        }
+    }
+
+    private static String request(String id, int deadlineMillis) {
+        return lookRequest(id).replace("Deadline-Ms: " + SidecarFixture.DEADLINE_MS, "Deadline-Ms: " + deadlineMillis);
+    }
+
+    /** What a test does with the client while the loop stands still. */
+    private interface Step {
+        void run(TestClient client) throws IOException;
+    }
+
+    /** Where an attempt waits for its connection. */
+    private enum Wait {
+        /** A connection within the last 30 ms of its rest; its timer runs before the next read. */
+        RESTING("resting", 85) {
+            @Override
+            LoopHold hold(SidecarFixture sidecar, String id, long stallMillis) {
+                return LoopHold.beforeTimers(sidecar, id, traceText, stallMillis);
+            }
+        },
+        /** A connection that is established during the stall, while others have just begun their rest. */
+        BEING_OPENED("being opened", 0) {
+            @Override
+            LoopHold hold(SidecarFixture sidecar, String id, long stallMillis) {
+                return LoopHold.beforeNextRead(sidecar, id, traceText, stallMillis);
+            }
+        };
+
+        final String traceText;
+        /** How long after a response the next request has to arrive, to wait here. */
+        final long restMillis;
+
+        Wait(String traceText, long restMillis) {
+            this.traceText = traceText;
+            this.restMillis = restMillis;
+        }
+
+        abstract LoopHold hold(SidecarFixture sidecar, String id, long stallMillis);
+    }
+
+    /** Sends requests until one waits for a connection as required, and holds the loop there. */
+    private static void holdWhileWaiting(Wait wait, int deadlineMillis, long stallMillis, Step step) throws Exception {
+        try (StubServer upstream = StubServer.respondingWith("x");
+                SidecarFixture sidecar = SidecarFixture.startWith(upstream)) {
+            for (int i = 0; i < MAX_TRIES; i++) {
+                assertEquals(200, sidecar.send(lookRequest("before" + i)).status());
+                StubServer.awaitNext(upstream.receivedHeads);
+                sidecar.loop
+                        .schedule(() -> {}, wait.restMillis, TimeUnit.MILLISECONDS)
+                        .sync();
+                String id = "leaving" + i;
+                try (LoopHold hold = wait.hold(sidecar, id, stallMillis);
+                        TestClient client = new TestClient(sidecar.address)) {
+                    StubServer.write(client.socket, request(id, deadlineMillis));
+                    if (hold.await(STALL_MILLIS)) {
+                        step.run(client);
+                        hold.release();
+                        assertNothingElseForwarded(sidecar, upstream);
+                        return;
+                    }
+                    hold.release();
+                    assertEquals(200, client.readResponse().status());
+                }
+                StubServer.awaitNext(upstream.receivedHeads);
+            }
+            throw new AssertionError("no request waited for a connection: " + wait);
+        }
+    }
+
+    /** Guards against a request written by the timer of a connection's rest, before its client's end was read. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @EnumSource(Departure.class)
+    void requestThatWaitedForARestIsNotWrittenIfItsClientLeftDuringAStall(Departure departure) throws Exception {
+        holdWhileWaiting(Wait.RESTING, SidecarFixture.DEADLINE_MS, STALL_MILLIS, departure::apply);
+    }
+
+    /** Guards against a request written on a new connection that was established during a stall. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @EnumSource(Departure.class)
+    void requestThatWaitedForAConnectionIsNotWrittenIfItsClientLeftDuringAStall(Departure departure) throws Exception {
+        holdWhileWaiting(Wait.BEING_OPENED, SidecarFixture.DEADLINE_MS, STALL_MILLIS, departure::apply);
+    }
+
+    /** Guards against a request written after its deadline, by an event that is handled before the deadline's timer. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @EnumSource(Wait.class)
+    void requestThatWaitedForAConnectionIsNotWrittenAfterItsDeadline(Wait wait) throws Exception {
+        holdWhileWaiting(wait, SHORT_DEADLINE_MILLIS, LONG_STALL_MILLIS, client -> {});
+    }
+
+    /** Guards against a deadline that counts from when a request was read: it may have lain in its socket. */
+    @Tag("known-red")
+    @Test
+    void requestThatLayUnreadUntilAfterItsDeadlineIsRejectedAtOnce() throws Exception {
+        try (StubServer upstream = StubServer.respondingWith("x");
+                SidecarFixture sidecar = SidecarFixture.startWith(upstream);
+                TestClient client = new TestClient(sidecar.address)) {
+            assertEquals(200, client.send(lookRequest("known")).status());
+            StubServer.awaitNext(upstream.receivedHeads);
+            CountDownLatch release = blockEventLoop(sidecar, LONG_STALL_MILLIS);
+            StubServer.write(client.socket, request("late", SHORT_DEADLINE_MILLIS));
+            release.countDown();
+            assertEquals(503, client.readResponse().status());
+            assertNothingElseForwarded(sidecar, upstream);
+        }
+    }
+
+    /** Guards against a time told to a server that the client does not have: the request lay in its socket. */
+    @Tag("known-red")
+    @Test
+    void timeToldToAServerDoesNotIncludeWhatPassedBeforeTheRequestWasRead() throws Exception {
+        try (StubServer upstream = StubServer.respondingWith("x");
+                SidecarFixture sidecar = SidecarFixture.startWith(upstream);
+                TestClient client = new TestClient(sidecar.address)) {
+            assertEquals(200, client.send(lookRequest("known")).status());
+            StubServer.awaitNext(upstream.receivedHeads);
+            CountDownLatch release = blockEventLoop(sidecar, LONG_STALL_MILLIS);
+            StubServer.write(client.socket, request("unread", LONG_DEADLINE_MILLIS));
+            release.countDown();
+            assertEquals(200, client.readResponse().status());
+            int told = Integer.parseInt(
+                    StubServer.header(StubServer.awaitNext(upstream.receivedHeads), "Req-Deadline-Ms"));
+            assertTrue(told <= LONG_DEADLINE_MILLIS - LONG_STALL_MILLIS + DEADLINE_SLACK_MILLIS, "told " + told);
+        }
+    }
+
+    /**
+     * Guards against a request that is let out by the end of a catch-up during which the process stalled again: the
+     * client leaves in one of the iterations that follow a stall, each of which is held.
+     */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6})
+    void requestIsNotWrittenIfItsClientLeftDuringTheNthOfSeveralStalls(int leavesIn) throws Exception {
+        try (StubServer upstream = StubServer.respondingWith("x");
+                SidecarFixture sidecar = SidecarFixture.startWith(upstream);
+                TestClient client = new TestClient(sidecar.address)) {
+            assertEquals(200, client.send(lookRequest("known")).status());
+            StubServer.awaitNext(upstream.receivedHeads);
+            // The connection has rested, so that an attempt is written at once.
+            sidecar.loop.schedule(() -> {}, STALL_MILLIS, TimeUnit.MILLISECONDS).sync();
+            CountDownLatch release = blockEventLoop(sidecar, STALL_MILLIS);
+            CountDownLatch left = new CountDownLatch(1);
+            sidecar.loop.schedule(() -> stallAgain(sidecar, client, leavesIn, left), 0, TimeUnit.NANOSECONDS);
+            StubServer.write(client.socket, lookRequest("leaving"));
+            release.countDown();
+            assertTrue(left.await(StubServer.TIMEOUT_SECONDS, TimeUnit.SECONDS));
+            // A request that was written before its client left was allowed.
+            if (!upstream.receivedHeads.isEmpty() && leavesIn > 1) {
+                assertEquals("leaving", StubServer.header(upstream.receivedHeads.take(), "Req-Id"));
+            }
+            assertNothingElseForwarded(sidecar, upstream);
+        }
+    }
+
+    /** Stalls in this iteration and the next ones; in the last, the client leaves and another stall follows. */
+    private static void stallAgain(SidecarFixture sidecar, TestClient client, int iterations, CountDownLatch left) {
+        if (iterations > 1) {
+            sidecar.loop.schedule(() -> stallAgain(sidecar, client, iterations - 1, left), 0, TimeUnit.NANOSECONDS);
+            return;
+        }
+        try {
+            client.close();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STALL_MILLIS);
+        while (System.nanoTime() < end) {
+            Thread.onSpinWait();
+        }
+        left.countDown();
+    }
+
+    /** Guards against a server charged with a timeout although its response had arrived while the sidecar slept. */
+    @Tag("known-red")
+    @Test
+    void responseThatArrivedDuringAStallIsReadBeforeTheAttemptTimesOut() throws Exception {
+        CountDownLatch respond = new CountDownLatch(1);
+        StubServer.Responder responder = (socket, head) -> head.contains("known")
+                ? StubServer.reply(socket, "200 OK", "", "x")
+                : FrontendTestHelper.respondAfter(respond, "x").respond(socket, head);
+        try (StubServer upstream = new StubServer(responder);
+                SidecarFixture sidecar = SidecarFixture.startWith(upstream);
+                LoopHold hold = LoopHold.beforeTimers(sidecar, "slow", "leased", STALL_MILLIS);
+                TestClient client = new TestClient(sidecar.address)) {
+            assertEquals(200, client.send(lookRequest("known")).status());
+            StubServer.awaitNext(upstream.receivedHeads);
+            StubServer.write(client.socket, request("slow", DEADLINE_WITHIN_HOLD_MILLIS));
+            assertTrue(hold.await(TimeUnit.SECONDS.toMillis(StubServer.TIMEOUT_SECONDS)));
+            respond.countDown();
+            StubServer.awaitNext(upstream.receivedHeads);
+            hold.release();
+            client.readResponse();
+            String metrics = sidecar.loop.submit(() -> sidecar.metricsText()).get();
+            assertTrue(metrics.contains("app.attempts_ended.timeout=0\n"), metrics);
+        }
+    }
+}
