Test of a late connection reads the clock that its attempt reads

attemptWhoseConnectionComesTooLateIsNotWritten took the time from a second EventLoopScheduler. Each one has its own offset from System.currentTimeMillis, which counts whole milliseconds, so the two differ by up to 1 ms, about as long as the connect takes: the test could fail, and did once after the check at the write moved (traced to this). It uses one scheduler now; what it requires is the same.

--- a/sidecar/src/test/java/topazvalve/sidecar/HttpConnectionTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/HttpConnectionTest.java
@@ -41,6 +41,7 @@
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
+    private final EventLoopScheduler scheduler = new EventLoopScheduler(loop);
     private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
     private final BlockingQueue<float[]> reports = new LinkedBlockingQueue<>();
 
@@ -62,7 +63,7 @@
         return loop.submit(() -> {
                     ConnectionPools<UpstreamRequest, UpstreamResponse> pools = new ConnectionPools<>(
                             loop,
-                            new EventLoopScheduler(loop),
+                            scheduler,
                             settings,
                             new HttpCodec(ReuseDelays.fixed(reuseDelayNanos)),
                             maxConnections);
@@ -177,7 +178,7 @@
             loop.submit(() -> {
                         Attempt<UpstreamRequest, UpstreamResponse> attempt =
                                 send(pools, 1, get("/late"), this::attemptCompleted);
-                        attempt.setLatestStart(new EventLoopScheduler(loop).nowNanos());
+                        attempt.setLatestStart(scheduler.nowNanos());
                     })
                     .sync();
             assertEquals(Outcome.NEVER_SENT, StubServer.awaitNext(outcomes));
