After a stall, nothing is written before the sockets are read, and news of endpoints go first

Cause: the catch-up of EventLoopScheduler deferred only events on their way to the policy. Attempts that the policy had started before, and that waited for a rest or a connect, were not deferred; a second stall during the catch-up was not noticed; a heartbeat that read the clock twice could hide a stall; all queued events ran after the catch-up, whatever happened between them; and an update of the endpoint list waited in the queue behind the decisions that needed it.

Evidence: drainThatWasToldDuringAStallIsKnownBeforeAWaitingRequestIsWritten failed for a rest and for a new connection (200 instead of 503); with the writes deferred, but the list still in the queue, one of the two. Both pass now.

Change: connections and rests continue through runOnceCaughtUp; each iteration of the catch-up is observed like a heartbeat and a stall in it begins the count anew (8 iterations at most); the dispatcher asks before each event; an endpoint list is applied to the connections at once, and its event goes before all that wait.

--- a/core/src/main/java/topazvalve/core/exchange/EndpointUpdater.java
+++ b/core/src/main/java/topazvalve/core/exchange/EndpointUpdater.java
@@ -37,13 +37,13 @@
             endpointsById.put(info.id(), endpoint);
             infos.add(info);
         }
-        dispatcher.dispatch((policy, now) -> {
-            endpointsById.forEach(this::updateBackend);
-            if (kind == UpdateKind.FULL) {
-                removeUnlisted(endpointsById);
-            }
-            policy.endpointsUpdated(now, kind, infos);
-        });
+        // The backend learns of it at once, so that no attempt that already waits for a connection goes to an endpoint
+        // that drains.
+        endpointsById.forEach(this::updateBackend);
+        if (kind == UpdateKind.FULL) {
+            removeUnlisted(endpointsById);
+        }
+        dispatcher.dispatchBeforeOthers((policy, now) -> policy.endpointsUpdated(now, kind, infos));
     }
 
     private void updateBackend(long id, Endpoint endpoint) {
--- a/core/src/main/java/topazvalve/core/exchange/PolicyDispatcher.java
+++ b/core/src/main/java/topazvalve/core/exchange/PolicyDispatcher.java
@@ -22,6 +22,9 @@
 
     private final Scheduler scheduler;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
+    /** Delivered before {@link #events}. */
+    private final ArrayDeque<Event> urgentEvents = new ArrayDeque<>();
+
     private LoadBalancer policy;
     /** Whether queued events are being delivered, or will be delivered after a stall. */
     private boolean deliveryPending;
@@ -40,20 +43,44 @@
     /** Delivers an event, within this call unless another one is being delivered or the loop has stalled. */
     void dispatch(Event event) {
         events.add(event);
+        deliverUnlessPending();
+    }
+
+    /**
+     * Delivers an event before all others that wait, in order with others of this method: after a stall the policy has
+     * to know the endpoint list before it decides anything.
+     */
+    void dispatchBeforeOthers(Event event) {
+        urgentEvents.add(event);
+        deliverUnlessPending();
+    }
+
+    private void deliverUnlessPending() {
         if (!deliveryPending) {
-            deliveryPending = true;
-            scheduler.runOnceCaughtUp(this::deliverQueuedEvents);
+            deliverOnceCaughtUp();
         }
     }
 
+    private void deliverOnceCaughtUp() {
+        deliveryPending = true;
+        scheduler.runOnceCaughtUp(this::deliverQueuedEvents);
+    }
+
     private void deliverQueuedEvents() {
         try {
-            for (Event event = events.poll(); event != null; event = events.poll()) {
-                deliver(event);
+            while (hasEvents() && scheduler.isCaughtUp()) {
+                deliver(urgentEvents.isEmpty() ? events.poll() : urgentEvents.poll());
             }
         } finally {
             deliveryPending = false;
         }
+        if (hasEvents()) {
+            deliverOnceCaughtUp();
+        }
+    }
+
+    private boolean hasEvents() {
+        return !events.isEmpty() || !urgentEvents.isEmpty();
     }
 
     private void deliver(Event event) {
--- a/core/src/main/java/topazvalve/core/pool/ConnectionPools.java
+++ b/core/src/main/java/topazvalve/core/pool/ConnectionPools.java
@@ -189,6 +189,11 @@
         pools.values().forEach(pool -> pool.closeIdleLongerThan(now, maxIdleNanos));
     }
 
+    /** Runs an action once the input that arrived during a stall of the event loop has been read. */
+    void runOnceCaughtUp(Runnable action) {
+        scheduler.runOnceCaughtUp(action);
+    }
+
     PoolCounters counters() {
         return counters;
     }
--- a/core/src/main/java/topazvalve/core/pool/PooledConnection.java
+++ b/core/src/main/java/topazvalve/core/pool/PooledConnection.java
@@ -92,6 +92,14 @@
         } else if (!success) {
             close(CloseReason.CONNECT_FAILED);
             first.connectionLost();
+        } else {
+            pools.runOnceCaughtUp(() -> startFirst(first));
+        }
+    }
+
+    private void startFirst(Attempt<Q, A> first) {
+        if (state == State.CLOSED) {
+            first.connectionLost();
         } else if (mayWrite(first)) {
             start(first, 0);
         } else {
@@ -103,7 +111,7 @@
     void reserve(Attempt<Q, A> attempt, long delayNanos) {
         reservedFor = attempt;
         EventTrace.attemptWaits(attempt.message(), number, "resting");
-        loop.schedule(this::reuseDelayOver, Math.max(0, delayNanos), TimeUnit.NANOSECONDS);
+        loop.schedule(() -> pools.runOnceCaughtUp(this::reuseDelayOver), Math.max(0, delayNanos), TimeUnit.NANOSECONDS);
     }
 
     private void reuseDelayOver() {
--- a/core/src/main/java/topazvalve/core/time/EventLoopScheduler.java
+++ b/core/src/main/java/topazvalve/core/time/EventLoopScheduler.java
@@ -15,18 +15,28 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long HEARTBEAT_INTERVAL_NANOS = 50 * NANOS_PER_MILLI;
     /**
-     * Delay of a heartbeat that counts as a stall. An undetected stall is shorter than this plus the heartbeat
-     * interval, which is less than the 0.1 s within which a client disconnect has to be noticed.
+     * Silence that counts as a stall. It is longer than a heartbeat interval, and shorter than the 0.1 s within which a
+     * client disconnect has to be noticed.
      */
-    private static final long STALL_THRESHOLD_NANOS = 25 * NANOS_PER_MILLI;
+    private static final long STALL_NANOS = HEARTBEAT_INTERVAL_NANOS + 25 * NANOS_PER_MILLI;
+    /** The first iteration after a stall reads pending data, the second an end of stream that follows the data. */
+    private static final int CATCH_UP_ITERATIONS = 2;
+    /** A loop whose iterations are all as long as a stall is overloaded; it must not wait forever. */
+    private static final int MAX_CATCH_UP_ITERATIONS = 8;
 
     private final long epochOffsetNanos = System.currentTimeMillis() * NANOS_PER_MILLI - System.nanoTime();
     private final EventLoop loop;
     private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
     private final StallStatistics stallStatistics = new StallStatistics();
     private boolean detectsStalls;
+    /** Whether the loop has stalled and has not read all its sockets since. */
     private boolean catchingUp;
-    private long lastHeartbeatNanos = System.nanoTime();
+    /** Iterations that have to end without another stall before the loop has caught up. */
+    private int iterationsLeft;
+    /** Iterations since the catch-up began. */
+    private int iterations;
+    /** When the loop was last known to run without a stall. */
+    private long lastAliveNanos = System.nanoTime();
 
     /** Creates a scheduler that does not detect stalls. */
     public EventLoopScheduler(EventLoop loop) {
@@ -38,7 +48,7 @@
         EventLoopScheduler scheduler = new EventLoopScheduler(loop);
         scheduler.detectsStalls = true;
         loop.scheduleWithFixedDelay(
-                scheduler::heartbeat, HEARTBEAT_INTERVAL_NANOS, HEARTBEAT_INTERVAL_NANOS, TimeUnit.NANOSECONDS);
+                scheduler::observe, HEARTBEAT_INTERVAL_NANOS, HEARTBEAT_INTERVAL_NANOS, TimeUnit.NANOSECONDS);
         return scheduler;
     }
 
@@ -68,37 +78,58 @@
     }
 
     @Override
-    public void runOnceCaughtUp(Runnable action) {
-        detectStall();
-        if (catchingUp) {
-            deferred.add(action);
-        } else {
-            action.run();
+    public boolean isCaughtUp() {
+        if (!catchingUp && detectsStalls && System.nanoTime() - lastAliveNanos > STALL_NANOS) {
+            observe();
         }
+        return !catchingUp;
     }
 
-    private void heartbeat() {
-        detectStall();
-        lastHeartbeatNanos = System.nanoTime();
+    @Override
+    public void runOnceCaughtUp(Runnable action) {
+        if (isCaughtUp()) {
+            action.run();
+        } else {
+            deferred.add(action);
+        }
     }
 
     /**
-     * Defers actions for two selects if the loop has stalled: the first select reads pending data, the second an end
-     * of stream that follows the data.
+     * Records that the loop runs. If it has stalled before, actions are deferred until it has read its sockets, and a
+     * stall while they are deferred begins the count of iterations anew. The time is read once: a stall after that is
+     * found by the next observation.
      */
-    private void detectStall() {
-        long silentNanos = System.nanoTime() - lastHeartbeatNanos;
-        if (detectsStalls && !catchingUp && silentNanos > HEARTBEAT_INTERVAL_NANOS + STALL_THRESHOLD_NANOS) {
-            catchingUp = true;
+    private void observe() {
+        long now = System.nanoTime();
+        long silentNanos = now - lastAliveNanos;
+        lastAliveNanos = now;
+        if (silentNanos > STALL_NANOS) {
             stallStatistics.record(silentNanos);
             EventTrace.stalled(silentNanos);
-            afterNextSelect(loop, () -> afterNextSelect(loop, this::runDeferredActions));
+            iterationsLeft = CATCH_UP_ITERATIONS;
+            if (!catchingUp) {
+                catchingUp = true;
+                iterations = 0;
+                afterNextSelect(loop, this::iterationEnded);
+            }
         }
     }
 
-    private void runDeferredActions() {
+    private void iterationEnded() {
+        observe();
+        iterations++;
+        iterationsLeft--;
+        if (iterationsLeft > 0 && iterations < MAX_CATCH_UP_ITERATIONS) {
+            afterNextSelect(loop, this::iterationEnded);
+            return;
+        }
         catchingUp = false;
-        while (!deferred.isEmpty()) {
+        runDeferredActions();
+    }
+
+    /** Runs the deferred actions in order; those that follow another stall are deferred further. */
+    private void runDeferredActions() {
+        while (!deferred.isEmpty() && isCaughtUp()) {
             deferred.poll().run();
         }
     }
--- a/core/src/main/java/topazvalve/core/time/Scheduler.java
+++ b/core/src/main/java/topazvalve/core/time/Scheduler.java
@@ -11,6 +11,11 @@
     /** Runs {@code action} once, not before {@code delayNanos} have passed. */
     Timer schedule(long delayNanos, Runnable action);
 
+    /** Returns whether all input from peers up to now has been read; false for a while after the thread has stalled. */
+    default boolean isCaughtUp() {
+        return true;
+    }
+
     /**
      * Runs {@code action} within this call, unless the thread has stalled and input from peers may be unread. In that
      * case the action runs later, after the pending input has been read.
--- a/sidecar/src/test/java/topazvalve/sidecar/WriteAfterStallTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/WriteAfterStallTest.java
@@ -6,8 +6,12 @@
 import static topazvalve.sidecar.FrontendTestHelper.blockEventLoop;
 import static topazvalve.sidecar.SidecarFixture.lookRequest;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
@@ -85,33 +89,72 @@
         abstract LoopHold hold(SidecarFixture sidecar, String id, long stallMillis);
     }
 
-    /** Sends requests until one waits for a connection as required, and holds the loop there. */
-    private static void holdWhileWaiting(Wait wait, int deadlineMillis, long stallMillis, Step step) throws Exception {
+    /** Lets a request wait for a connection, runs a step while the loop is held; the request must not be forwarded. */
+    private static void assertNotForwarded(Wait wait, int deadlineMillis, long stallMillis, Step step)
+            throws Exception {
         try (StubServer upstream = StubServer.respondingWith("x");
                 SidecarFixture sidecar = SidecarFixture.startWith(upstream)) {
-            for (int i = 0; i < MAX_TRIES; i++) {
-                String id = "leaving" + i;
-                // A connection's first request is submitted later than it is read, so this is the second one.
-                try (TestClient client = new TestClient(sidecar.address);
-                        LoopHold hold = wait.hold(sidecar, id, stallMillis)) {
-                    assertEquals(200, client.send(lookRequest("before" + i)).status());
-                    StubServer.awaitNext(upstream.receivedHeads);
-                    sidecar.loop
-                            .schedule(() -> {}, wait.restMillis, TimeUnit.MILLISECONDS)
-                            .sync();
-                    StubServer.write(client.socket, request(id, deadlineMillis));
-                    if (hold.await(STALL_MILLIS)) {
-                        step.run(client);
-                        hold.release();
-                        assertNothingElseForwarded(sidecar, upstream);
-                        return;
-                    }
+            TestClient client = holdWhileWaiting(sidecar, upstream, wait, deadlineMillis, stallMillis, step);
+            assertNothingElseForwarded(sidecar, upstream);
+            client.close();
+        }
+    }
+
+    /**
+     * Sends requests until one waits for a connection as required, and holds the loop there. Returns the client of that
+     * request after the loop was released.
+     */
+    private static TestClient holdWhileWaiting(
+            SidecarFixture sidecar, StubServer upstream, Wait wait, int deadlineMillis, long stallMillis, Step step)
+            throws Exception {
+        for (int i = 0; i < MAX_TRIES; i++) {
+            String id = "leaving" + i;
+            // A connection's first request is submitted later than it is read, so this is the second one.
+            TestClient client = new TestClient(sidecar.address);
+            try (LoopHold hold = wait.hold(sidecar, id, stallMillis)) {
+                assertEquals(200, client.send(lookRequest("before" + i)).status());
+                StubServer.awaitNext(upstream.receivedHeads);
+                sidecar.loop
+                        .schedule(() -> {}, wait.restMillis, TimeUnit.MILLISECONDS)
+                        .sync();
+                StubServer.write(client.socket, request(id, deadlineMillis));
+                if (hold.await(STALL_MILLIS)) {
+                    step.run(client);
                     hold.release();
-                    assertEquals(200, client.readResponse().status());
+                    return client;
+                }
+                hold.release();
+                assertEquals(200, client.readResponse().status());
+            }
+            client.close();
+            StubServer.awaitNext(upstream.receivedHeads);
+        }
+        throw new AssertionError("no request waited for a connection: " + wait);
+    }
+
+    /** Guards against a request sent to a server whose drain lay unread in the watch's socket. */
+    @ParameterizedTest
+    @EnumSource(Wait.class)
+    void drainThatWasToldDuringAStallIsKnownBeforeAWaitingRequestIsWritten(Wait wait) throws Exception {
+        BlockingQueue<Socket> watches = new LinkedBlockingQueue<>();
+        try (StubServer upstream = StubServer.respondingWith("x");
+                StubServer discovery = new StubServer((socket, head) -> watches.add(socket))) {
+            ObjectNode json = SidecarFixture.configJson(upstream).put("discovery", discovery.endpoint());
+            String drain = "{\"rev\":42,\"all\":false,\"targets\":["
+                    + SidecarFixture.endpointJson("s-0", upstream.endpoint(), "DRAINING") + "]}\n";
+            try (SidecarFixture sidecar = new SidecarFixture(json)) {
+                Socket watch = StubServer.awaitNext(watches);
+                StubServer.write(watch, DiscoveryFixture.CHUNKED_RESPONSE_HEAD);
+                try (TestClient client = holdWhileWaiting(
+                        sidecar,
+                        upstream,
+                        wait,
+                        SidecarFixture.DEADLINE_MS,
+                        STALL_MILLIS,
+                        waiting -> StubServer.write(watch, DiscoveryFixture.chunk(drain)))) {
+                    assertEquals(503, client.readResponse().status());
                 }
-                StubServer.awaitNext(upstream.receivedHeads);
             }
-            throw new AssertionError("no request waited for a connection: " + wait);
         }
     }
 
@@ -119,21 +162,21 @@
     @ParameterizedTest
     @EnumSource(Departure.class)
     void requestThatWaitedForARestIsNotWrittenIfItsClientLeftDuringAStall(Departure departure) throws Exception {
-        holdWhileWaiting(Wait.RESTING, SidecarFixture.DEADLINE_MS, STALL_MILLIS, departure::apply);
+        assertNotForwarded(Wait.RESTING, SidecarFixture.DEADLINE_MS, STALL_MILLIS, departure::apply);
     }
 
     /** Guards against a request written on a new connection that was established during a stall. */
     @ParameterizedTest
     @EnumSource(Departure.class)
     void requestThatWaitedForAConnectionIsNotWrittenIfItsClientLeftDuringAStall(Departure departure) throws Exception {
-        holdWhileWaiting(Wait.BEING_OPENED, SidecarFixture.DEADLINE_MS, STALL_MILLIS, departure::apply);
+        assertNotForwarded(Wait.BEING_OPENED, SidecarFixture.DEADLINE_MS, STALL_MILLIS, departure::apply);
     }
 
     /** Guards against a request written after its deadline, by an event that is handled before the deadline's timer. */
     @ParameterizedTest
     @EnumSource(Wait.class)
     void requestThatWaitedForAConnectionIsNotWrittenAfterItsDeadline(Wait wait) throws Exception {
-        holdWhileWaiting(wait, SHORT_DEADLINE_MILLIS, LONG_STALL_MILLIS, client -> {});
+        assertNotForwarded(wait, SHORT_DEADLINE_MILLIS, LONG_STALL_MILLIS, client -> {});
     }
 
     /** Guards against a deadline that counts from when a request was read: it may have lain in its socket. */
