Count a request's time from when its connection may have begun to wait for the accept

Cause: a connection made during a stall is accepted in the first iteration after it, read in the second, submitted in the third, when the catch-up is over; with more than 16 of them, or with accepting paused, far later.

Change: BacklogAge knows since when the backlog may hold connections (stall, pause, a read that accepted as many as it may), each accepted connection carries that time, and InputAge uses it for what can have been in the socket at the accept. The age is taken when the last byte is read, not when the request is submitted.

Evidence: both new tests fail with connections that count from their accept (200 instead of 503 for 40 connections; 988 ms told where 750 are allowed, without any stall), and pass.

--- a/core/src/main/java/topazvalve/core/exchange/ExchangeLifecycle.java
+++ b/core/src/main/java/topazvalve/core/exchange/ExchangeLifecycle.java
@@ -58,7 +58,7 @@
     @Override
     public long submit(ExchangeRequest<Q> request, ResponseListener<A> listener) {
         boolean bodyComplete = request.body().isComplete();
-        long timeoutNanos = request.timeoutMillis() * NANOS_PER_MILLI - (bodyComplete ? passedNanos() : 0);
+        long timeoutNanos = request.timeoutMillis() * NANOS_PER_MILLI - passedNanos(request);
         RequestClassCounters counters =
                 metrics.countersOf(request.requestClass().name());
         boolean full = exchanges.size() >= maxExchanges;
@@ -107,16 +107,13 @@
                 request.write());
     }
 
-    /**
-     * Returns how much of a client's time may have passed before its request was read. A stalled loop can't know when
-     * the request came, so it counts from the beginning of the stall, but for what need not be counted.
-     */
-    private long passedNanos() {
-        return Math.max(0, scheduler.maxInputAgeNanos() - MAX_UNCOUNTED_AGE_NANOS);
+    /** Returns how much of a client's time may have passed before its request was read; 0 before its last byte. */
+    private static long passedNanos(ExchangeRequest<?> request) {
+        return Math.max(0, request.body().lastByteAgeNanos() - MAX_UNCOUNTED_AGE_NANOS);
     }
 
     private void bodyCompleted(Exchange<Q, A> exchange) {
-        exchange.shortenTimeout(passedNanos());
+        exchange.shortenTimeout(passedNanos(exchange.request));
         startTimeout(exchange);
         exchange.startedAttempts().forEach(attempt -> attempt.startTimeout(exchange.timeoutNanos()));
         dispatcher.dispatch((policy, now) -> policy.requestBodyCompleted(now, exchange.id));
--- a/core/src/main/java/topazvalve/core/net/ClientChannel.java
+++ b/core/src/main/java/topazvalve/core/net/ClientChannel.java
@@ -27,6 +27,10 @@
     /** A client that has sent more than this since the last read counts as connected. */
     private static final int MAX_PEEKED_BYTES = 16 << 10;
 
+    /** Since when the client may have been connected; {@link #acceptedAtOnce} if it was accepted without a wait. */
+    private long connectedSinceNanos;
+
+    private boolean acceptedAtOnce = true;
     /** Created with the first look. */
     private ByteBuffer probeBuffer;
     /** Bytes that were read by a look and are not delivered yet; null if there are none. */
@@ -36,6 +40,21 @@
         super(listener, accepted);
     }
 
+    /** Records since when the connection may have waited to be accepted, as a {@link System#nanoTime}. */
+    public void acceptedAfterWait(long sinceNanos) {
+        acceptedAtOnce = false;
+        connectedSinceNanos = sinceNanos;
+    }
+
+    /**
+     * Returns since when the client may have been connected, as a {@link System#nanoTime}: the present time, unless
+     * {@link #acceptedAfterWait} said otherwise.
+     */
+    public static long connectedSinceNanos(Channel channel) {
+        boolean waited = channel instanceof ClientChannel client && !client.acceptedAtOnce;
+        return waited ? ((ClientChannel) channel).connectedSinceNanos : System.nanoTime();
+    }
+
     /** Returns the present state of the client's end; a channel of another kind counts as connected. */
     public static PeerState peerState(Channel channel) {
         return channel instanceof ClientChannel client ? client.peerState() : PeerState.CONNECTED;
--- a/core/src/main/java/topazvalve/core/stream/RequestBody.java
+++ b/core/src/main/java/topazvalve/core/stream/RequestBody.java
@@ -32,6 +32,7 @@
     private int readOffset;
 
     private boolean complete;
+    private long lastByteAgeNanos;
     private boolean replayable = true;
     private boolean discarded;
 
@@ -96,13 +97,28 @@
         return last;
     }
 
-    /** Marks the body as complete: its last byte has been received. */
+    /** Marks the body as complete: its last byte has just been received. */
     public void complete() {
+        complete(0);
+    }
+
+    /**
+     * Marks the body as complete.
+     *
+     * @param lastByteAgeNanos for how long its last byte may have been received by the kernel, in nanoseconds
+     */
+    public void complete(long lastByteAgeNanos) {
         complete = true;
+        this.lastByteAgeNanos = lastByteAgeNanos;
         onComplete.run();
         onReadable.run();
     }
 
+    /** Returns for how long the last byte may have lain unread when the body was completed, in nanoseconds. */
+    public long lastByteAgeNanos() {
+        return lastByteAgeNanos;
+    }
+
     /** Returns whether the last byte has been received. */
     public boolean isComplete() {
         return complete;
--- a/sidecar/src/main/java/topazvalve/sidecar/HttpProxy.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/HttpProxy.java
@@ -68,7 +68,14 @@
                 RelaySelector.of(config.name(), relays, config.seed()),
                 exchanges);
         frontend = new HttpFrontend(
-                loop, exchanges, classes, config.settingsReader().names("parties"), maxClients, lifecycle, budget);
+                loop,
+                scheduler,
+                exchanges,
+                classes,
+                config.settingsReader().names("parties"),
+                maxClients,
+                lifecycle,
+                budget);
     }
 
     /** Starts with the endpoints in the configuration and subscribes to discovery. */
@@ -90,6 +97,11 @@
         discovery.printMetrics(to);
     }
 
+    /** Returns for how long input that is read now may have lain in its socket, in nanoseconds. */
+    long maxInputAgeNanos() {
+        return scheduler.maxInputAgeNanos();
+    }
+
     ExchangeManager<UpstreamRequest, UpstreamResponse> exchanges() {
         return exchanges;
     }
--- a/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/Sidecar.java
@@ -113,7 +113,8 @@
         return clientListener.open(
                 group,
                 frontend.connectionInitializer(),
-                () -> Math.min(descriptors, frontend.connectionLimit() + spareDescriptors));
+                () -> Math.min(descriptors, frontend.connectionLimit() + spareDescriptors),
+                httpProxy::maxInputAgeNanos);
     }
 
     /** Runs {@code next} once a socket listens; exits if it can't, so that the parent process notices the failure. */
--- a/sidecar/src/main/java/topazvalve/sidecar/frontend/ClientConnection.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/frontend/ClientConnection.java
@@ -64,7 +64,7 @@
         this.lifecycle = lifecycle;
         this.channel = channel;
         this.decoder = new RequestDecoder(this, budget);
-        this.bodyReceiver = new RequestBodyReceiver(this, channel, budget);
+        this.bodyReceiver = new RequestBodyReceiver(this, channel, budget, new InputAge(frontend.scheduler(), channel));
         this.responseWriter = new ResponseWriter(this, channel, budget);
         this.lingeringClose = new LingeringClose(channel);
         this.request = new CurrentRequest(frontend, exchangeHandler);
--- a/sidecar/src/main/java/topazvalve/sidecar/frontend/HttpFrontend.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/frontend/HttpFrontend.java
@@ -18,6 +18,7 @@
 import topazvalve.core.requestclass.RequestClassRegistry;
 import topazvalve.core.stream.ByteBudget;
 import topazvalve.core.time.EventLoopScheduler;
+import topazvalve.core.time.Scheduler;
 import topazvalve.sidecar.http.UpstreamRequest;
 import topazvalve.sidecar.http.UpstreamResponse;
 
@@ -36,6 +37,7 @@
     private final ExchangeHandler<UpstreamRequest, UpstreamResponse> exchangeHandler;
     private final RequestReader requestReader;
     private final EventLoop loop;
+    private final Scheduler scheduler;
     private final ProcessLifecycle lifecycle;
     private final ByteBudget budget;
     private final Future<?> sweepTask;
@@ -61,6 +63,7 @@
      */
     public HttpFrontend(
             EventLoop loop,
+            Scheduler scheduler,
             ExchangeHandler<UpstreamRequest, UpstreamResponse> exchangeHandler,
             RequestClassRegistry classes,
             List<String> tenantNames,
@@ -72,6 +75,7 @@
         this.lifecycle = lifecycle;
         this.requestReader = new RequestReader(classes, tenantNames);
         this.loop = loop;
+        this.scheduler = scheduler;
         this.evictionPolicy = new EvictionPolicy(maxConnections);
         this.connectionLimit = maxConnections;
         this.sweepTask = loop.scheduleWithFixedDelay(
@@ -103,6 +107,11 @@
         return connections.isEmpty();
     }
 
+    /** Returns the scheduler of the event loop. */
+    Scheduler scheduler() {
+        return scheduler;
+    }
+
     /** Schedules an eviction after the next reads, since a connection to evict may have sent a request. */
     private void evictIfOverCapacity() {
         if (evictionScheduled || connections.size() <= evictionPolicy.capacity()) {
--- a/sidecar/src/main/java/topazvalve/sidecar/frontend/RequestBodyReceiver.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/frontend/RequestBodyReceiver.java
@@ -15,6 +15,7 @@
     private final ClientConnection connection;
     private final Channel channel;
     private final ByteBudget budget;
+    private final InputAge inputAge;
     /** The body of the current or latest request; null before the first. */
     private RequestBody body;
     /** Whether the end of the body has not been received yet. */
@@ -27,10 +28,11 @@
     /** Whether the last bytes of the body are held back until the socket has been read once more. */
     private boolean lastContentDeferred;
 
-    RequestBodyReceiver(ClientConnection connection, Channel channel, ByteBudget budget) {
+    RequestBodyReceiver(ClientConnection connection, Channel channel, ByteBudget budget, InputAge inputAge) {
         this.connection = connection;
         this.channel = channel;
         this.budget = budget;
+        this.inputAge = inputAge;
     }
 
     /**
@@ -54,14 +56,12 @@
         }
         boolean isLast = content instanceof LastHttpContent;
         if (isLast && disconnectMayBePending) {
-            deferLastContent(content.retain());
+            deferLastContent(content.retain(), inputAge.sinceNanos());
             return;
         }
         body.add(content.content());
         if (isLast) {
-            incomplete = false;
-            body.complete();
-            connection.submitUnlessSubmitted();
+            complete(inputAge.sinceNanos());
         } else if (body.isFull()) {
             disconnectMayBePending = true;
             channel.config().setAutoRead(false);
@@ -69,11 +69,18 @@
         }
     }
 
+    /** Completes the body, whose last byte may have lain in the socket since then. */
+    private void complete(long lastByteSinceNanos) {
+        incomplete = false;
+        body.complete(System.nanoTime() - lastByteSinceNanos);
+        connection.submitUnlessSubmitted();
+    }
+
     /**
      * Holds the last bytes back until the socket has been read once more. A disconnect after them is noticed only then,
      * and the request of a client that has disconnected must not reach a server completely.
      */
-    private void deferLastContent(HttpContent last) {
+    private void deferLastContent(HttpContent last, long lastByteSinceNanos) {
         lastContentDeferred = true;
         connection.updateAutoRead();
         RequestBody deferredBody = body;
@@ -81,7 +88,9 @@
             if (lastContentDeferred && body == deferredBody) {
                 lastContentDeferred = false;
                 disconnectMayBePending = false;
-                receive(last);
+                connection.recordActivity();
+                body.add(last.content());
+                complete(lastByteSinceNanos);
                 connection.processQueued();
             }
             last.release();
--- a/sidecar/src/main/java/topazvalve/sidecar/listen/AcceptLimit.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/listen/AcceptLimit.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import topazvalve.core.time.EventLoopScheduler;
@@ -26,6 +27,7 @@
     private static final long LOG_INTERVAL_NANOS = 1_000_000_000;
 
     private final IntSupplier maxConnections;
+    private final BacklogAge backlog;
     private final ServerChannelRecvByteBufAllocator acceptsPerRead = new ServerChannelRecvByteBufAllocator();
     private int openConnections;
     private boolean pausedAfterFailure;
@@ -38,7 +40,17 @@
      *     the value calls {@link #resume} afterwards
      */
     public AcceptLimit(IntSupplier maxConnections) {
+        this(maxConnections, () -> 0);
+    }
+
+    /**
+     * Creates a limit that records how long a connection may have waited to be accepted.
+     *
+     * @param maxInputAgeNanos returns for how long the event loop has read nothing, in nanoseconds
+     */
+    public AcceptLimit(IntSupplier maxConnections, LongSupplier maxInputAgeNanos) {
         this.maxConnections = maxConnections;
+        this.backlog = new BacklogAge(maxInputAgeNanos);
     }
 
     @Override
@@ -50,8 +62,11 @@
     /** Accepts no more connections in one read than the limit has headroom for, and none during a pause. */
     private void updateAccepting(Channel listeningChannel) {
         int headroom = maxConnections.getAsInt() - openConnections;
-        acceptsPerRead.maxMessagesPerRead(Math.max(1, Math.min(MAX_ACCEPTS_PER_READ, headroom)));
-        listeningChannel.config().setAutoRead(headroom > 0 && !pausedAfterFailure);
+        int maxAccepts = Math.max(1, Math.min(MAX_ACCEPTS_PER_READ, headroom));
+        acceptsPerRead.maxMessagesPerRead(maxAccepts);
+        boolean accepting = headroom > 0 && !pausedAfterFailure;
+        backlog.acceptingChanged(listeningChannel.eventLoop(), accepting, maxAccepts);
+        listeningChannel.config().setAutoRead(accepting);
     }
 
     @Override
@@ -59,6 +74,7 @@
         openConnections++;
         Channel listeningChannel = context.channel();
         Channel accepted = (Channel) message;
+        backlog.accepted(accepted);
         accepted.closeFuture()
                 .addListener(closed -> EventLoopScheduler.afterNextSelect(
                         listeningChannel.eventLoop(), () -> descriptorReleased(listeningChannel)));
@@ -66,6 +82,12 @@
         context.fireChannelRead(message);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        backlog.readCompleted(context.channel().eventLoop());
+        context.fireChannelReadComplete();
+    }
+
     /** Called after the next select, since the selector releases the descriptor of a closed channel only then. */
     private void descriptorReleased(Channel listeningChannel) {
         openConnections--;
--- a/sidecar/src/main/java/topazvalve/sidecar/listen/ClientListener.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/listen/ClientListener.java
@@ -13,6 +13,7 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import topazvalve.core.net.ListeningChannel;
@@ -95,7 +96,20 @@
      * @return a future that completes once the socket listens, and fails if the address can't be bound
      */
     public ChannelFuture open(EventLoopGroup group, ChannelHandler connectionInitializer, IntSupplier maxConnections) {
-        acceptLimit = new AcceptLimit(maxConnections);
+        return open(group, connectionInitializer, maxConnections, () -> 0);
+    }
+
+    /**
+     * Starts accepting connections, each of which records how long it may have waited for that.
+     *
+     * @param maxInputAgeNanos returns for how long the event loop has read nothing, in nanoseconds
+     */
+    public ChannelFuture open(
+            EventLoopGroup group,
+            ChannelHandler connectionInitializer,
+            IntSupplier maxConnections,
+            LongSupplier maxInputAgeNanos) {
+        acceptLimit = new AcceptLimit(maxConnections, maxInputAgeNanos);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .handler(acceptLimit)
--- a/sidecar/src/test/java/topazvalve/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/SidecarFixture.java
@@ -78,7 +78,8 @@
                 .open(
                         group,
                         openConnections.counting(frontend.connectionInitializer()),
-                        () -> maxClients + SPARE_DESCRIPTORS)
+                        () -> maxClients + SPARE_DESCRIPTORS,
+                        proxy::maxInputAgeNanos)
                 .sync()
                 .channel()
                 .localAddress();
--- a/sidecar/src/test/java/topazvalve/sidecar/WriteAfterStallTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/WriteAfterStallTest.java
@@ -9,6 +9,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -30,6 +32,7 @@
     private static final int SHORT_DEADLINE_MILLIS = 120;
     private static final int LONG_DEADLINE_MILLIS = 1000;
     private static final int DEADLINE_SLACK_MILLIS = 150;
+    private static final int MORE_THAN_ONE_READ_ACCEPTS = 40;
     private static final int MAX_TRIES = 200;
     /** Shorter than the time after which {@link LoopHold#beforeTimers} begins. */
     private static final int DEADLINE_WITHIN_HOLD_MILLIS = 50;
@@ -213,6 +216,60 @@
         }
     }
 
+    /** Guards against a full deadline for a request that waited in the backlog, behind more than one read accepts. */
+    @Test
+    void requestsThatWaitedToBeAcceptedUntilAfterTheirDeadlineAreRejectedAtOnce() throws Exception {
+        try (StubServer upstream = StubServer.respondingWith("x");
+                SidecarFixture sidecar = SidecarFixture.startWith(upstream)) {
+            assertEquals(200, sidecar.send(lookRequest("known")).status());
+            StubServer.awaitNext(upstream.receivedHeads);
+            CountDownLatch release = blockEventLoop(sidecar, LONG_STALL_MILLIS);
+            List<TestClient> clients = new ArrayList<>();
+            for (int i = 0; i < MORE_THAN_ONE_READ_ACCEPTS; i++) {
+                TestClient client = new TestClient(sidecar.address);
+                StubServer.write(client.socket, request("late" + i, SHORT_DEADLINE_MILLIS));
+                clients.add(client);
+            }
+            release.countDown();
+            for (TestClient client : clients) {
+                assertEquals(503, client.readResponse().status());
+                client.close();
+            }
+            assertNothingElseForwarded(sidecar, upstream);
+        }
+    }
+
+    /** Guards against a full deadline for a request that waited while no connection was accepted, without a stall. */
+    @Test
+    void timeToldToAServerDoesNotIncludeAWaitForTheAccept() throws Exception {
+        CountDownLatch respond = new CountDownLatch(1);
+        try (StubServer upstream = new StubServer(FrontendTestHelper.respondAfter(respond, "x"));
+                SidecarFixture sidecar = new SidecarFixture(SidecarFixture.configJson(upstream), 1)) {
+            List<TestClient> busy = new ArrayList<>();
+            for (int i = 0; i < 1 + SidecarFixture.SPARE_DESCRIPTORS; i++) {
+                TestClient client = new TestClient(sidecar.address);
+                StubServer.write(client.socket, lookRequest("busy" + i));
+                busy.add(client);
+            }
+            FrontendTestHelper.awaitOpenRequests(sidecar, busy.size());
+            try (TestClient waiting = new TestClient(sidecar.address)) {
+                StubServer.write(waiting.socket, request("waiting", LONG_DEADLINE_MILLIS));
+                sidecar.loop
+                        .schedule(() -> {}, LONG_STALL_MILLIS, TimeUnit.MILLISECONDS)
+                        .sync();
+                respond.countDown();
+                FrontendTestHelper.assertServedAndClose(busy);
+                assertEquals(200, waiting.readResponse().status());
+            }
+            String head = StubServer.awaitNext(upstream.receivedHeads);
+            while (!head.contains("waiting")) {
+                head = StubServer.awaitNext(upstream.receivedHeads);
+            }
+            int told = Integer.parseInt(StubServer.header(head, "Req-Deadline-Ms"));
+            assertTrue(told <= LONG_DEADLINE_MILLIS - LONG_STALL_MILLIS + DEADLINE_SLACK_MILLIS, "told " + told);
+        }
+    }
+
     /**
      * Guards against a request that is let out by the end of a catch-up during which the process stalled again: the
      * client leaves in one of the iterations that follow a stall, each of which is held.
