Check an attempt again when its bytes are passed to the socket

Encoding, logging and flushing lie between the check and the system call; the rest of a body that waits for space in the socket can lie there for long.

Change: ServerChannel asks its guard in doWrite, the one place where bytes reach a socket. A check older than 1 ms is made again until the last byte is written; a first write more than 100 ms after its check is not made at all (held_up), since the time told in its head is old. What is left is the time between two system calls.

Evidence: requestIsNotWrittenIfItsClientLeftDuringAStallAfterTheCheck failed three times (close, reset, half-close) and passes. The tail of a body is guarded by the same check without a test of its own: the loop cannot be held there.

--- a/core/src/main/java/topazvalve/core/pool/PooledConnection.java
+++ b/core/src/main/java/topazvalve/core/pool/PooledConnection.java
@@ -28,6 +28,11 @@
         CLOSED
     }
 
+    /** How long a permission to write holds. */
+    private static final long PERMISSION_VALID_NANOS = 1_000_000;
+    /** A first write that comes later would tell the server a time that is too old; the slack of that is 0.15 s. */
+    private static final long MAX_FIRST_WRITE_DELAY_NANOS = 100_000_000;
+
     private static final int MIN_RECEIVE_BUFFER_BYTES = 64;
     private static final int INITIAL_RECEIVE_BUFFER_BYTES = 2048;
     private static final RecvByteBufAllocator RECEIVE_BUFFER_ALLOCATOR = new AdaptiveRecvByteBufAllocator(
@@ -44,6 +49,11 @@
     /** The attempt that the connection is leased to; null while it is idle. */
     private Attempt<Q, A> leasedTo;
 
+    /** When the attempt in progress was last permitted to be written. */
+    private long permittedAtNanos;
+    /** Whether bytes of the attempt in progress were passed to the socket. */
+    private boolean firstWriteDone;
+
     private long idleSinceNanos;
     /** The attempt that this idle connection is reserved for until the reuse delay is over; null if there is none. */
     private Attempt<Q, A> reservedFor;
@@ -79,6 +89,7 @@
 
     private void initialize(ServerChannel newChannel) {
         channel = newChannel;
+        newChannel.guardWrites(this::mayWriteToSocket);
         pools.connectionOpened();
         newChannel.closeFuture().addListener(closed -> pools.connectionClosed());
         handler.configure(newChannel);
@@ -166,13 +177,36 @@
      */
     private boolean mayWrite(Attempt<Q, A> attempt) {
         WritePermission permission = attempt.writePermission();
-        if (permission == WritePermission.GRANTED) {
+        permittedAtNanos = System.nanoTime();
+        return permission == WritePermission.GRANTED || endUnwritten(attempt, permission);
+    }
+
+    /**
+     * Checks the attempt in progress again, right before bytes of it are passed to the socket: until its last byte is
+     * written, its client may leave and its deadline may pass.
+     */
+    private boolean mayWriteToSocket() {
+        Attempt<Q, A> attempt = leasedTo;
+        if (attempt == null || attempt.isCompleted() || attempt.isWritten()) {
             return true;
         }
-        pools.counters().attemptNotWritten(permission);
-        EventTrace.attemptNotWritten(attempt.message(), permission);
-        if (permission.outcome() != null) {
-            attempt.abort(permission.outcome());
+        long ageNanos = System.nanoTime() - permittedAtNanos;
+        if (ageNanos <= PERMISSION_VALID_NANOS) {
+            firstWriteDone = true;
+            return true;
+        }
+        if (!firstWriteDone && ageNanos > MAX_FIRST_WRITE_DELAY_NANOS) {
+            return endUnwritten(attempt, WritePermission.HELD_UP);
+        }
+        firstWriteDone = true;
+        return mayWrite(attempt);
+    }
+
+    private boolean endUnwritten(Attempt<Q, A> attempt, WritePermission reason) {
+        pools.counters().attemptNotWritten(reason);
+        EventTrace.attemptNotWritten(attempt.message(), reason);
+        if (reason.outcome() != null) {
+            attempt.abort(reason.outcome());
         }
         return false;
     }
@@ -183,6 +217,7 @@
         state = State.LEASED;
         attempts++;
         leasedTo = attempt;
+        firstWriteDone = false;
         handler.startAttempt(attempt);
     }
 
--- a/core/src/main/java/topazvalve/core/pool/ServerChannel.java
+++ b/core/src/main/java/topazvalve/core/pool/ServerChannel.java
@@ -1,11 +1,21 @@
 package topazvalve.core.pool;
 
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
-/** A connection to a server that can be asked, between two reads of the event loop, what is in its socket. */
+/**
+ * A connection to a server. It can be asked, between two reads of the event loop, what is in its socket; and it asks
+ * its guard before each write to it.
+ */
 public final class ServerChannel extends NioSocketChannel {
+    /** Decides whether the bytes that are to be written next may reach the server. */
+    interface WriteGuard {
+        /** Returns whether they may; if not, the guard has closed the channel. */
+        boolean mayWrite();
+    }
+
     /** What is in the socket of an idle connection. */
     enum IdleState {
         /** Nothing: the connection may carry a request. */
@@ -16,8 +26,21 @@
         CLOSED
     }
 
+    private WriteGuard writeGuard = () -> true;
     private final ByteBuffer probe = ByteBuffer.allocate(1);
 
+    /** Sets the guard of all writes from now on. */
+    void guardWrites(WriteGuard guard) {
+        writeGuard = guard;
+    }
+
+    @Override
+    protected void doWrite(ChannelOutboundBuffer pending) throws Exception {
+        if (writeGuard.mayWrite()) {
+            super.doWrite(pending);
+        }
+    }
+
     /** Returns what is in the socket of an idle connection, which must be closed if that is not {@code QUIET}. */
     IdleState idleState() {
         probe.clear();
--- a/core/src/main/java/topazvalve/core/pool/WritePermission.java
+++ b/core/src/main/java/topazvalve/core/pool/WritePermission.java
@@ -12,6 +12,8 @@
     CLIENT_DISCONNECTED(Outcome.CANCELLED),
     /** The time of the attempt, which is at most that of its client, is over. */
     DEADLINE_PASSED(Outcome.NEVER_SENT),
+    /** The process was held up between the check of the attempt and its first write: what was checked is old. */
+    HELD_UP(Outcome.NEVER_SENT),
     /** The lifetime of the request's idempotency key is over. */
     KEY_EXPIRED(Outcome.NEVER_SENT);
 
--- a/sidecar/src/test/java/topazvalve/sidecar/LoopHold.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/LoopHold.java
@@ -24,10 +24,16 @@
     private final Handler handler = new StepHandler();
     private final String request;
     private final String step;
-    private final boolean beforeTimers;
+    private final Place place;
     private final long minMillis;
     private boolean triggered;
 
+    private enum Place {
+        WITHIN_STEP,
+        BEFORE_NEXT_READ,
+        BEFORE_TIMERS
+    }
+
     private final class StepHandler extends Handler {
         private final SimpleFormatter formatter = new SimpleFormatter();
 
@@ -47,11 +53,11 @@
         public void close() {}
     }
 
-    private LoopHold(SidecarFixture sidecar, String request, String step, boolean beforeTimers, long minMillis) {
+    private LoopHold(SidecarFixture sidecar, String request, String step, Place place, long minMillis) {
         this.sidecar = sidecar;
         this.request = request;
         this.step = step;
-        this.beforeTimers = beforeTimers;
+        this.place = place;
         this.minMillis = minMillis;
         TRACE.addHandler(handler);
         TRACE.setLevel(Level.FINE);
@@ -59,7 +65,7 @@
 
     /** Holds the loop after the step, before it reads again; {@code minMillis} is the shortest time. */
     static LoopHold beforeNextRead(SidecarFixture sidecar, String request, String step, long minMillis) {
-        return new LoopHold(sidecar, request, step, false, minMillis);
+        return new LoopHold(sidecar, request, step, Place.BEFORE_NEXT_READ, minMillis);
     }
 
     /**
@@ -67,14 +73,19 @@
      * do if a signal has interrupted the wait for input.
      */
     static LoopHold beforeTimers(SidecarFixture sidecar, String request, String step, long minMillis) {
-        return new LoopHold(sidecar, request, step, true, minMillis);
+        return new LoopHold(sidecar, request, step, Place.BEFORE_TIMERS, minMillis);
+    }
+
+    /** Holds the loop in the middle of the step. */
+    static LoopHold within(SidecarFixture sidecar, String request, String step, long minMillis) {
+        return new LoopHold(sidecar, request, step, Place.WITHIN_STEP, minMillis);
     }
 
     private void begin() {
-        if (beforeTimers) {
-            sidecar.loop.schedule(this::holdUntilTimersAreDue, 0, TimeUnit.NANOSECONDS);
-        } else {
-            sidecar.loop.schedule(this::hold, 0, TimeUnit.NANOSECONDS);
+        switch (place) {
+            case BEFORE_TIMERS -> sidecar.loop.schedule(this::holdUntilTimersAreDue, 0, TimeUnit.NANOSECONDS);
+            case BEFORE_NEXT_READ -> sidecar.loop.schedule(this::hold, 0, TimeUnit.NANOSECONDS);
+            default -> hold();
         }
     }
 
--- a/sidecar/src/test/java/topazvalve/sidecar/WriteAfterStallTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/WriteAfterStallTest.java
@@ -24,6 +24,7 @@
 
 /** Nothing is written to a server on knowledge from before a stall; docs/design/crossings.md lists the cases. */
 class WriteAfterStallTest {
+    private static final String LEASED = "leased";
     /** Longer than the time within which a disconnect must be noticed. */
     private static final long STALL_MILLIS = 130;
     /** Longer than {@link #SHORT_DEADLINE_MILLIS} and the slack of 150 ms together. */
@@ -216,6 +217,38 @@
         }
     }
 
+    /** Guards against a stall between the check of an attempt and its first write. */
+    @ParameterizedTest
+    @EnumSource(Departure.class)
+    void requestIsNotWrittenIfItsClientLeftDuringAStallAfterTheCheck(Departure departure) throws Exception {
+        try (StubServer upstream = StubServer.respondingWith("x");
+                SidecarFixture sidecar = SidecarFixture.startWith(upstream);
+                LoopHold hold = LoopHold.within(sidecar, "leaving", LEASED, STALL_MILLIS);
+                TestClient client = new TestClient(sidecar.address)) {
+            StubServer.write(client.socket, lookRequest("leaving"));
+            assertTrue(hold.await(TimeUnit.SECONDS.toMillis(StubServer.TIMEOUT_SECONDS)));
+            departure.apply(client);
+            hold.release();
+            assertNothingElseForwarded(sidecar, upstream);
+        }
+    }
+
+    /** Guards against a request without an answer because its attempt was not written after a long stall. */
+    @Test
+    void requestHeldUpForLongAfterItsCheckIsAnsweredAtOnce() throws Exception {
+        try (StubServer upstream = StubServer.respondingWith("x");
+                SidecarFixture sidecar = SidecarFixture.startWith(upstream);
+                LoopHold hold = LoopHold.within(sidecar, "held", LEASED, LONG_STALL_MILLIS);
+                TestClient client = new TestClient(sidecar.address)) {
+            StubServer.write(client.socket, lookRequest("held"));
+            assertTrue(hold.await(TimeUnit.SECONDS.toMillis(StubServer.TIMEOUT_SECONDS)));
+            hold.release();
+            assertEquals(503, client.readResponse().status());
+            String metrics = sidecar.loop.submit(() -> sidecar.metricsText()).get();
+            assertTrue(metrics.contains("app.attempts_not_written.held_up=1\n"), metrics);
+        }
+    }
+
     /** Guards against a full deadline for a request that waited in the backlog, behind more than one read accepts. */
     @Test
     void requestsThatWaitedToBeAcceptedUntilAfterTheirDeadlineAreRejectedAtOnce() throws Exception {
@@ -326,7 +359,7 @@
                 : FrontendTestHelper.respondAfter(respond, "x").respond(socket, head);
         try (StubServer upstream = new StubServer(responder);
                 SidecarFixture sidecar = SidecarFixture.startWith(upstream);
-                LoopHold hold = LoopHold.beforeTimers(sidecar, "slow", "leased", STALL_MILLIS);
+                LoopHold hold = LoopHold.beforeTimers(sidecar, "slow", LEASED, STALL_MILLIS);
                 TestClient client = new TestClient(sidecar.address)) {
             assertEquals(200, client.send(lookRequest("known")).status());
             StubServer.awaitNext(upstream.receivedHeads);
