Timeouts count from when they were worked out, not from when they are started

Cause: by the trace the attempt was ordered at 28.245 with 265 ms left, the process stood, and the attempt was leased at 29.024. The duration was worked out before the stall and its timer started after it, so the deadline had moved with the stall. The same between the last byte of a request and the start of its timeout.

Change: Attempt.startTimeout takes a time, not a duration; the order's clock reading is passed on; the age of a request is counted up to when its timeout starts.

--- a/core/src/main/java/topazvalve/core/exchange/ExchangeLifecycle.java
+++ b/core/src/main/java/topazvalve/core/exchange/ExchangeLifecycle.java
@@ -58,6 +58,7 @@
     @Override
     public long submit(ExchangeRequest<Q> request, ResponseListener<A> listener) {
         boolean bodyComplete = request.body().isComplete();
+        long submittedAtNanos = scheduler.nowNanos();
         long timeoutNanos = request.timeoutMillis() * NANOS_PER_MILLI - passedNanos(request);
         RequestClassCounters counters =
                 metrics.countersOf(request.requestClass().name());
@@ -78,7 +79,7 @@
                         () -> dispatcher.dispatch((policy, now) -> policy.bodyNotReplayable(now, id)));
         Request policyRequest = toPolicyRequest(exchange);
         if (bodyComplete) {
-            startTimeout(exchange);
+            startTimeout(exchange, submittedAtNanos);
         }
         dispatcher.dispatch((policy, now) -> {
             if (!exchange.isOpen()) {
@@ -113,21 +114,21 @@
     }
 
     private void bodyCompleted(Exchange<Q, A> exchange) {
+        long completedAtNanos = scheduler.nowNanos();
         exchange.shortenTimeout(passedNanos(exchange.request));
-        startTimeout(exchange);
-        exchange.startedAttempts().forEach(attempt -> attempt.startTimeout(exchange.timeoutNanos()));
+        startTimeout(exchange, completedAtNanos);
+        exchange.startedAttempts().forEach(attempt -> attempt.startTimeout(completedAtNanos + exchange.timeoutNanos()));
         dispatcher.dispatch((policy, now) -> policy.requestBodyCompleted(now, exchange.id));
     }
 
-    /** Sets the deadline and a timer that fails the exchange if the policy has not answered by then. */
-    private void startTimeout(Exchange<Q, A> exchange) {
+    /** Sets the deadline, and a timer that fails the exchange if the policy has not answered by then. */
+    private void startTimeout(Exchange<Q, A> exchange, long now) {
         long timeoutNanos = exchange.timeoutNanos();
-        exchange.startTimeout(
-                scheduler.nowNanos() + timeoutNanos, scheduler.schedule(timeoutNanos + OVERDUE_NANOS, () -> {
-                    fail(exchange.id, AnswerReason.DEADLINE);
-                    // Reported as a disconnect: in both cases nobody waits for a response any longer.
-                    abandon(exchange);
-                }));
+        exchange.startTimeout(now + timeoutNanos, scheduler.schedule(timeoutNanos + OVERDUE_NANOS, () -> {
+            fail(exchange.id, AnswerReason.DEADLINE);
+            // Reported as a disconnect: in both cases nobody waits for a response any longer.
+            abandon(exchange);
+        }));
     }
 
     @Override
--- a/core/src/main/java/topazvalve/core/exchange/PolicyActionExecutor.java
+++ b/core/src/main/java/topazvalve/core/exchange/PolicyActionExecutor.java
@@ -55,7 +55,7 @@
             long attemptTimeoutNanos = attemptTimeoutNanos(exchange, timeoutNanos, now);
             EventTrace.attemptStarted(exchange.request.message(), number, endpoint, attemptTimeoutNanos);
             Attempt<Q, A> started = backend.startAttempt(
-                    endpoint, exchange.request.message(), exchange.request.body(), attemptTimeoutNanos, attempt);
+                    endpoint, exchange.request.message(), exchange.request.body(), attemptTimeoutNanos, now, attempt);
             started.setLatestStart(latestStartNanos);
             exchange.attemptStarted(number, started);
         } else {
--- a/core/src/main/java/topazvalve/core/pool/Attempt.java
+++ b/core/src/main/java/topazvalve/core/pool/Attempt.java
@@ -109,13 +109,13 @@
     }
 
     /**
-     * Starts the timeout: within {@code durationNanos} a complete response must arrive or a streamed one must start.
-     * Does nothing if the timeout was already started or the attempt has ended.
+     * Starts the timeout: until {@code atNanos}, on the scheduler's clock, a complete response must arrive or a
+     * streamed one must start. Does nothing if the timeout was already started or the attempt has ended.
      */
-    public void startTimeout(long durationNanos) {
+    public void startTimeout(long atNanos) {
         if (!isCompleted() && timeout == null) {
-            timesOutAtNanos = scheduler.nowNanos() + durationNanos;
-            timeout = scheduler.schedule(durationNanos, this::timedOut);
+            timesOutAtNanos = atNanos;
+            timeout = scheduler.schedule(Math.max(0, atNanos - scheduler.nowNanos()), this::timedOut);
         }
     }
 
@@ -139,7 +139,7 @@
         latestStartNanos = atNanos;
     }
 
-    /** Decides whether the attempt may be written now; looks at the client's connection last, since that costs most. */
+    /** Decides whether the attempt may be written now; looks at the client's connection last, which costs most. */
     WritePermission writePermission() {
         if (isCompleted()) {
             return WritePermission.ATTEMPT_ENDED;
--- a/core/src/main/java/topazvalve/core/pool/Backend.java
+++ b/core/src/main/java/topazvalve/core/pool/Backend.java
@@ -14,11 +14,12 @@
     /**
      * Starts an attempt. Its listener is notified of the end exactly once, possibly within this call.
      *
-     * @param timeoutNanos timeout in nanoseconds; starts now if the body is complete, otherwise with
+     * @param timeoutNanos timeout in nanoseconds; starts at {@code now} if the body is complete, otherwise with
      *     {@link Attempt#startTimeout}
+     * @param now when the attempt was ordered, on the scheduler's clock
      */
     Attempt<Q, A> startAttempt(
-            long endpoint, Q message, RequestBody body, long timeoutNanos, AttemptListener<Q, A> listener);
+            long endpoint, Q message, RequestBody body, long timeoutNanos, long now, AttemptListener<Q, A> listener);
 
     /** Sends a health check; its listener is notified of the end exactly once. */
     void sendHealthCheck(long endpoint, AttemptListener<Q, A> listener);
--- a/core/src/main/java/topazvalve/core/pool/ConnectionPools.java
+++ b/core/src/main/java/topazvalve/core/pool/ConnectionPools.java
@@ -79,14 +79,20 @@
         }
     }
 
-    @Override
+    /** Starts an attempt that is ordered now; otherwise like the method with a time. */
     public Attempt<Q, A> startAttempt(
             long endpoint, Q message, RequestBody body, long timeoutNanos, AttemptListener<Q, A> listener) {
+        return startAttempt(endpoint, message, body, timeoutNanos, scheduler.nowNanos(), listener);
+    }
+
+    @Override
+    public Attempt<Q, A> startAttempt(
+            long endpoint, Q message, RequestBody body, long timeoutNanos, long now, AttemptListener<Q, A> listener) {
         EndpointPool<Q, A> pool = pools.getOrDefault(endpoint, unlistedPool);
         Attempt<Q, A> attempt = new Attempt<>(
                 scheduler, message, body, timeoutNanos, listener, pool::removeUnwritten, counters::attemptEnded);
         if (body.isComplete()) {
-            attempt.startTimeout(timeoutNanos);
+            attempt.startTimeout(now + timeoutNanos);
         }
         pool.addUnwritten(attempt);
         if (pool.isReady()) {
--- a/core/src/main/java/topazvalve/core/stream/RequestBody.java
+++ b/core/src/main/java/topazvalve/core/stream/RequestBody.java
@@ -32,7 +32,7 @@
     private int readOffset;
 
     private boolean complete;
-    private long lastByteAgeNanos;
+    private long lastByteSinceNanos;
     private boolean replayable = true;
     private boolean discarded;
 
@@ -99,24 +99,24 @@
 
     /** Marks the body as complete: its last byte has just been received. */
     public void complete() {
-        complete(0);
+        complete(System.nanoTime());
     }
 
     /**
      * Marks the body as complete.
      *
-     * @param lastByteAgeNanos for how long its last byte may have been received by the kernel, in nanoseconds
+     * @param lastByteSinceNanos since when the kernel may have held its last byte, as a {@link System#nanoTime}
      */
-    public void complete(long lastByteAgeNanos) {
+    public void complete(long lastByteSinceNanos) {
         complete = true;
-        this.lastByteAgeNanos = lastByteAgeNanos;
+        this.lastByteSinceNanos = lastByteSinceNanos;
         onComplete.run();
         onReadable.run();
     }
 
-    /** Returns for how long the last byte may have lain unread when the body was completed, in nanoseconds. */
+    /** Returns for how long the kernel or this process may have held the last byte, in nanoseconds; 0 before it. */
     public long lastByteAgeNanos() {
-        return lastByteAgeNanos;
+        return complete ? System.nanoTime() - lastByteSinceNanos : 0;
     }
 
     /** Returns whether the last byte has been received. */
--- a/core/src/test/java/topazvalve/core/exchange/FakeBackend.java
+++ b/core/src/test/java/topazvalve/core/exchange/FakeBackend.java
@@ -52,6 +52,7 @@
             String message,
             RequestBody body,
             long timeoutNanos,
+            long now,
             AttemptListener<String, String> listener) {
         boolean followsWrittenAttempt = startedAttempts.stream().anyMatch(started -> started.attempt.isWritten());
         boolean ready = readyByEndpoint.getOrDefault(endpoint, false);
@@ -59,7 +60,7 @@
                 new Attempt<>(scheduler, message, body, timeoutNanos, listener, ignored -> {}, ignored -> {});
         startedAttempts.add(new StartedAttempt(endpoint, attempt, ready, followsWrittenAttempt, !body.isReplayable()));
         if (body.isComplete()) {
-            attempt.startTimeout(timeoutNanos);
+            attempt.startTimeout(now + timeoutNanos);
         }
         return attempt;
     }
--- a/hollow-fleet/src/main/java/topazvalve/hollowfleet/hollow/UnusedBackend.java
+++ b/hollow-fleet/src/main/java/topazvalve/hollowfleet/hollow/UnusedBackend.java
@@ -15,6 +15,7 @@
             Object message,
             RequestBody body,
             long timeoutNanos,
+            long now,
             AttemptListener<Object, Object> listener) {
         throw new UnsupportedOperationException("hollow sidecars do not send requests");
     }
--- a/sidecar/src/main/java/topazvalve/sidecar/frontend/RequestBodyReceiver.java
+++ b/sidecar/src/main/java/topazvalve/sidecar/frontend/RequestBodyReceiver.java
@@ -72,7 +72,7 @@
     /** Completes the body, whose last byte may have lain in the socket since then. */
     private void complete(long lastByteSinceNanos) {
         incomplete = false;
-        body.complete(System.nanoTime() - lastByteSinceNanos);
+        body.complete(lastByteSinceNanos);
         connection.submitUnlessSubmitted();
     }
 
--- a/sidecar/src/test/java/topazvalve/sidecar/WriteAfterStallTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/WriteAfterStallTest.java
@@ -24,6 +24,7 @@
 
 /** Nothing is written to a server on knowledge from before a stall; docs/design/crossings.md lists the cases. */
 class WriteAfterStallTest {
+    private static final String ORDERED = "attempt 0 to endpoint";
     private static final String LEASED = "leased";
     /** Longer than the time within which a disconnect must be noticed. */
     private static final long STALL_MILLIS = 130;
@@ -249,6 +250,25 @@
         }
     }
 
+    /** Guards against a timeout that begins after a stall though it was worked out before it. */
+    @Test
+    void timeoutOfAnAttemptCountsFromWhenItWasOrdered() throws Exception {
+        try (StubServer upstream = StubServer.respondingWith("x");
+                SidecarFixture sidecar = SidecarFixture.startWith(upstream);
+                LoopHold hold = LoopHold.within(sidecar, "held", ORDERED, LONG_STALL_MILLIS);
+                TestClient client = new TestClient(sidecar.address)) {
+            assertEquals(200, client.send(lookRequest("known")).status());
+            StubServer.awaitNext(upstream.receivedHeads);
+            StubServer.write(client.socket, request("held", LONG_DEADLINE_MILLIS));
+            assertTrue(hold.await(TimeUnit.SECONDS.toMillis(StubServer.TIMEOUT_SECONDS)));
+            hold.release();
+            assertEquals(200, client.readResponse().status());
+            int told = Integer.parseInt(
+                    StubServer.header(StubServer.awaitNext(upstream.receivedHeads), "Req-Deadline-Ms"));
+            assertTrue(told <= LONG_DEADLINE_MILLIS - LONG_STALL_MILLIS + DEADLINE_SLACK_MILLIS, "told " + told);
+        }
+    }
+
     /** Guards against a full deadline for a request that waited in the backlog, behind more than one read accepts. */
     @Test
     void requestsThatWaitedToBeAcceptedUntilAfterTheirDeadlineAreRejectedAtOnce() throws Exception {
@@ -286,7 +306,7 @@
             }
             FrontendTestHelper.awaitOpenRequests(sidecar, busy.size());
             try (TestClient waiting = new TestClient(sidecar.address)) {
-                StubServer.write(waiting.socket, request("waiting", LONG_DEADLINE_MILLIS));
+                StubServer.write(waiting.socket, request("waiting", SidecarFixture.DEADLINE_MS));
                 sidecar.loop
                         .schedule(() -> {}, LONG_STALL_MILLIS, TimeUnit.MILLISECONDS)
                         .sync();
@@ -299,7 +319,7 @@
                 head = StubServer.awaitNext(upstream.receivedHeads);
             }
             int told = Integer.parseInt(StubServer.header(head, "Req-Deadline-Ms"));
-            assertTrue(told <= LONG_DEADLINE_MILLIS - LONG_STALL_MILLIS + DEADLINE_SLACK_MILLIS, "told " + told);
+            assertTrue(told <= SidecarFixture.DEADLINE_MS - LONG_STALL_MILLIS + DEADLINE_SLACK_MILLIS, "told " + told);
         }
     }
 
--- a/simulation/src/main/java/topazvalve/simulation/real/ClientRequest.java
+++ b/simulation/src/main/java/topazvalve/simulation/real/ClientRequest.java
@@ -74,7 +74,13 @@
         this.trace = new Trace(number, instance, requestClass, run.sinceStart(now), run.sinceStart(deadline));
     }
 
+    /** Sends the request, unless its time is over already because the clients themselves were held up. */
     void send() {
+        if (remainingNanos <= 0) {
+            finished = true;
+            run.statistics().requestUnanswered(generated.requestClass(), run.sinceStart(firstSentAt));
+            return;
+        }
         SentRequest sent =
                 new SentRequest(trace, instance, generated.requestClass(), generated.key(), generated.work(), deadline);
         run.sentRequests().put(id, sent);
