Time for which the process stood is charged to no server

Cause: the policy measures response times and lateness by its own clock, from when an attempt started. An attempt that was out during a stall looked as slow as the stall was long, which shed load, lowered the server's limit and could eject it.

Change: a new event of the policy, hostStalled, delivered before the events that follow a stall; it moves the start and the latency objective of outstanding attempts by the stall. Deadlines stay real time.

Evidence: stallsDoNotCountAsResponseTime failed at its second request (503, rejected_for.load_shed=1 after one response) and passes. A first try that took the stall out of the reported response time alone did not help, since the policy does not use it.

--- a/core/src/main/java/topazvalve/core/exchange/PolicyDispatcher.java
+++ b/core/src/main/java/topazvalve/core/exchange/PolicyDispatcher.java
@@ -30,6 +30,8 @@
     private boolean deliveryPending;
 
     private long exceptionCount;
+    /** The part of the scheduler's stalls that the policy knows of, in nanoseconds. */
+    private long reportedStallNanos;
 
     PolicyDispatcher(Scheduler scheduler) {
         this.scheduler = scheduler;
@@ -69,6 +71,7 @@
     private void deliverQueuedEvents() {
         try {
             while (hasEvents() && scheduler.isCaughtUp()) {
+                reportStalls();
                 deliver(urgentEvents.isEmpty() ? events.poll() : urgentEvents.poll());
             }
         } finally {
@@ -79,6 +82,14 @@
         }
     }
 
+    private void reportStalls() {
+        long newNanos = scheduler.stalledNanos() - reportedStallNanos;
+        if (newNanos > 0) {
+            reportedStallNanos += newNanos;
+            deliver((balancer, now) -> balancer.hostStalled(now, newNanos));
+        }
+    }
+
     private boolean hasEvents() {
         return !events.isEmpty() || !urgentEvents.isEmpty();
     }
--- a/core/src/main/java/topazvalve/core/time/EventLoopScheduler.java
+++ b/core/src/main/java/topazvalve/core/time/EventLoopScheduler.java
@@ -37,6 +37,8 @@
     private int iterations;
     /** When the stall began that the loop is catching up with, at the earliest. */
     private long stallBeganNanos;
+
+    private long stalledNanos;
     /** When the loop was last known to run without a stall. */
     private long lastAliveNanos = System.nanoTime();
 
@@ -92,6 +94,11 @@
         return isCaughtUp() ? 0 : System.nanoTime() - stallBeganNanos;
     }
 
+    @Override
+    public long stalledNanos() {
+        return stalledNanos;
+    }
+
     @Override
     public void runOnceCaughtUp(Runnable action) {
         if (isCaughtUp()) {
@@ -112,6 +119,7 @@
         long silentNanos = now - silentSinceNanos;
         lastAliveNanos = now;
         if (silentNanos > STALL_NANOS) {
+            stalledNanos += silentNanos;
             stallStatistics.record(silentNanos);
             EventTrace.stalled(silentNanos);
             iterationsLeft = CATCH_UP_ITERATIONS;
--- a/core/src/main/java/topazvalve/core/time/Scheduler.java
+++ b/core/src/main/java/topazvalve/core/time/Scheduler.java
@@ -24,6 +24,11 @@
         return 0;
     }
 
+    /** Returns how long the thread has stalled in all, in nanoseconds, as far as was noticed until now. */
+    default long stalledNanos() {
+        return 0;
+    }
+
     /**
      * Runs {@code action} within this call, unless the thread has stalled and input from peers may be unread. In that
      * case the action runs later, after the pending input has been read.
--- a/policy/src/main/java/topazvalve/policy/AttemptTracker.java
+++ b/policy/src/main/java/topazvalve/policy/AttemptTracker.java
@@ -51,6 +51,17 @@
         context.actions().forward(request.request.id(), endpoint.info.id(), timeout);
     }
 
+    /** Takes the time for which the host stalled out of the response times and objectives of outstanding attempts. */
+    void hostStalled(long now, long nanos) {
+        for (RequestState request : requests.values()) {
+            if (request.hasOutstandingAttempt() && !request.bodyArriving) {
+                AttemptState attempt = request.attempts.get(request.attempts.size() - 1);
+                attempt.startedAt = Math.min(now, attempt.startedAt + nanos);
+                request.objectiveAt += nanos;
+            }
+        }
+    }
+
     private void startAttempt(long now, AttemptState attempt, RequestState request) {
         attempt.startedAt = now;
         attempt.inFlightBefore = attempt.endpoint.inFlight++;
--- a/policy/src/main/java/topazvalve/policy/LoadBalancer.java
+++ b/policy/src/main/java/topazvalve/policy/LoadBalancer.java
@@ -60,6 +60,12 @@
     /** Handles the client's disconnection; the request gets no answer. */
     void clientDisconnected(long now, long request);
 
+    /**
+     * Handles that the host did nothing for this long, until now: what it has not read or answered meanwhile is not the
+     * fault of an endpoint. Called before the events that follow from what it reads next.
+     */
+    default void hostStalled(long now, long nanos) {}
+
     /** Handles a timer that has fired. */
     void timerFired(long now, long token);
 
--- a/policy/src/main/java/topazvalve/policy/SidecarPolicy.java
+++ b/policy/src/main/java/topazvalve/policy/SidecarPolicy.java
@@ -127,6 +127,11 @@
         }
     }
 
+    @Override
+    public void hostStalled(long now, long nanos) {
+        attempts.hostStalled(now, nanos);
+    }
+
     @Override
     public void clientDisconnected(long now, long id) {
         if (attempts.requests().containsKey(id)) {
--- a/sidecar/src/test/java/topazvalve/sidecar/WriteAfterStallTest.java
+++ b/sidecar/src/test/java/topazvalve/sidecar/WriteAfterStallTest.java
@@ -32,6 +32,8 @@
 
     private static final int SHORT_DEADLINE_MILLIS = 120;
     private static final int LONG_DEADLINE_MILLIS = 1000;
+    private static final long OBJECTIVE_NANOS = 200_000_000;
+    private static final int STALLED_RESPONSES = 5;
     private static final int DEADLINE_SLACK_MILLIS = 150;
     private static final int MORE_THAN_ONE_READ_ACCEPTS = 40;
     private static final int MAX_TRIES = 200;
@@ -394,4 +396,28 @@
             assertTrue(metrics.contains("app.attempts_ended.timeout=0\n"), metrics);
         }
     }
+
+    /** Guards against servers that count as slow, so that requests are rejected, because this process slept. */
+    @Test
+    void stallsDoNotCountAsResponseTime() throws Exception {
+        try (StubServer upstream = StubServer.respondingWith("x")) {
+            ObjectNode json = SidecarFixture.configJson(upstream);
+            json.withArray("/settings/profiles").forEach(each -> ((ObjectNode) each).put("slo", OBJECTIVE_NANOS));
+            try (SidecarFixture sidecar = new SidecarFixture(json);
+                    TestClient client = new TestClient(sidecar.address)) {
+                for (int i = 0; i < STALLED_RESPONSES; i++) {
+                    try (LoopHold hold = LoopHold.beforeNextRead(sidecar, "slow" + i, LEASED, LONG_STALL_MILLIS)) {
+                        StubServer.write(client.socket, lookRequest("slow" + i));
+                        assertTrue(hold.await(TimeUnit.SECONDS.toMillis(StubServer.TIMEOUT_SECONDS)), "rejected");
+                        StubServer.awaitNext(upstream.receivedHeads);
+                        hold.release();
+                        assertEquals(200, client.readResponse().status(), "request " + i);
+                    }
+                }
+                String metrics =
+                        sidecar.loop.submit(() -> sidecar.metricsText()).get();
+                assertTrue(metrics.contains("app.pool_ejected=0\n"), metrics);
+            }
+        }
+    }
 }
