Connect timeouts wait for the catch-up; stalls are taken out of the evidence of outliers

The pool's own timer goes through runOnceCaughtUp. There is no test of its own: only a signal brings the order about.

Evidence of outliers: stallsDoNotCountAsResponseTime, green with the whole class, failed by itself (pool_ejected=1): the detector integrates the time that it waits for an endpoint. Its integral is moved by the stall as well.

--- a/core/src/main/java/topazvalve/core/pool/ConnectionPools.java
+++ b/core/src/main/java/topazvalve/core/pool/ConnectionPools.java
@@ -21,7 +21,7 @@
 public final class ConnectionPools<Q, A> implements Backend<Q, A> {
     private static final double DEFAULT_CONNECT_TIMEOUT_NANOS = 1e9;
     private static final double DEFAULT_SERVER_IDLE_TIMEOUT_NANOS = 5e9;
-    private static final double NANOS_PER_MILLI = 1e6;
+    private static final long MIN_CONNECT_TIMEOUT_NANOS = 1_000_000;
     /** Fraction of the server's idle timeout; below 1, so that no write races with the server's close. */
     private static final double IDLE_TIMEOUT_FRACTION = 0.9;
 
@@ -38,7 +38,7 @@
     private final EndpointPool<Q, A> unlistedPool = new EndpointPool<>();
 
     private final Future<?> idleSweep;
-    private int connectTimeoutMillis;
+    private long connectTimeoutNanos;
     private long maxIdleNanos;
     private final PoolCounters counters = new PoolCounters();
     private int connectionCount;
@@ -59,8 +59,8 @@
 
     @Override
     public void settingsChanged(SettingsReader settings) {
-        double connectTimeoutNanos = settings.number("caps.connectTimeout", DEFAULT_CONNECT_TIMEOUT_NANOS);
-        connectTimeoutMillis = Math.max(1, (int) (connectTimeoutNanos / NANOS_PER_MILLI));
+        double timeoutNanos = settings.number("caps.connectTimeout", DEFAULT_CONNECT_TIMEOUT_NANOS);
+        connectTimeoutNanos = Math.max(MIN_CONNECT_TIMEOUT_NANOS, (long) timeoutNanos);
         double serverIdleNanos = settings.number("caps.connIdle", DEFAULT_SERVER_IDLE_TIMEOUT_NANOS);
         maxIdleNanos = (long) (serverIdleNanos * IDLE_TIMEOUT_FRACTION);
         codec.settingsChanged(settings);
@@ -136,7 +136,7 @@
         if (connectionCount >= maxConnections && !closeLeastRecentlyUsed()) {
             attempt.abort(Outcome.NEVER_SENT);
         } else {
-            new PooledConnection<>(this, loop, pool, codec).open(attempt, connectTimeoutMillis);
+            new PooledConnection<>(this, loop, pool, codec).open(attempt, connectTimeoutNanos);
         }
     }
 
@@ -200,6 +200,11 @@
         scheduler.runOnceCaughtUp(action);
     }
 
+    /** Runs an action after a delay, once the input that arrived during a stall of the event loop has been read. */
+    Scheduler.Timer scheduleOnceCaughtUp(long delayNanos, Runnable action) {
+        return scheduler.schedule(delayNanos, () -> scheduler.runOnceCaughtUp(action));
+    }
+
     PoolCounters counters() {
         return counters;
     }
--- a/core/src/main/java/topazvalve/core/pool/PooledConnection.java
+++ b/core/src/main/java/topazvalve/core/pool/PooledConnection.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import topazvalve.core.stream.ByteBudget;
+import topazvalve.core.time.Scheduler;
 import topazvalve.core.trace.EventTrace;
 import topazvalve.policy.Outcome;
 
@@ -33,6 +34,7 @@
     /** A first write that comes later would tell the server a time that is too old; the slack of that is 0.15 s. */
     private static final long MAX_FIRST_WRITE_DELAY_NANOS = 100_000_000;
 
+    private static final int NO_TIMEOUT = 0;
     private static final int MIN_RECEIVE_BUFFER_BYTES = 64;
     private static final int INITIAL_RECEIVE_BUFFER_BYTES = 2048;
     private static final RecvByteBufAllocator RECEIVE_BUFFER_ALLOCATOR = new AdaptiveRecvByteBufAllocator(
@@ -67,14 +69,16 @@
     }
 
     /** Connects to the endpoint and leases the connection to {@code first}. */
-    void open(Attempt<Q, A> first, int connectTimeoutMillis) {
+    void open(Attempt<Q, A> first, long connectTimeoutNanos) {
         first.assignConnection(() -> close(CloseReason.ATTEMPT_ABORTED));
         EventTrace.attemptWaits(first.message(), number, "being opened");
         pool.add(this);
+        // Not Netty's: after a stall that one fires although the connection was established in time.
+        Scheduler.Timer connectTimeout = pools.scheduleOnceCaughtUp(connectTimeoutNanos, this::connectTimedOut);
         new Bootstrap()
                 .group(loop)
                 .channel(ServerChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NO_TIMEOUT)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, RECEIVE_BUFFER_ALLOCATOR)
                 .handler(new ChannelInitializer<ServerChannel>() {
@@ -84,7 +88,17 @@
                     }
                 })
                 .connect(pool.address())
-                .addListener(result -> connectCompleted(first, result.isSuccess()));
+                .addListener(result -> {
+                    connectTimeout.cancel();
+                    connectCompleted(first, result.isSuccess());
+                });
+    }
+
+    /** Ends the connect, which then completes without success. */
+    private void connectTimedOut() {
+        if (channel != null && !channel.isActive()) {
+            channel.close();
+        }
     }
 
     private void initialize(ServerChannel newChannel) {
--- a/policy/src/main/java/topazvalve/policy/AttemptTracker.java
+++ b/policy/src/main/java/topazvalve/policy/AttemptTracker.java
@@ -58,6 +58,7 @@
                 AttemptState attempt = request.attempts.get(request.attempts.size() - 1);
                 attempt.startedAt = Math.min(now, attempt.startedAt + nanos);
                 request.objectiveAt += nanos;
+                detector.hostStalled(now, attempt.endpoint, nanos);
             }
         }
     }
--- a/policy/src/main/java/topazvalve/policy/OutlierDetector.java
+++ b/policy/src/main/java/topazvalve/policy/OutlierDetector.java
@@ -141,6 +141,12 @@
         endpoint.evidence.rate += 1 / request.expectedTime;
     }
 
+    /** Takes a stall of the host, which ends now, out of the time that an endpoint is waited for. */
+    void hostStalled(long now, EndpointState endpoint, long nanos) {
+        Evidence evidence = endpoint.evidence;
+        evidence.integratedAt = Math.min(now, evidence.integratedAt + nanos);
+    }
+
     void attemptCompleted(long now, AttemptState attempt, Outcome outcome, RequestState request) {
         Evidence evidence = attempt.endpoint.evidence;
         evidence.integrate(now);
