--- a/cli/src/main/java/topazvalve/cli/Main.java
+++ b/cli/src/main/java/topazvalve/cli/Main.java
@@ -22,6 +22,7 @@
             RelayVerb.class,
             CheckVerb.class,
             SimulateVerb.class,
+            SoakVerb.class,
             ExperimentVerb.class,
             FleetVerb.class,
             MeasureVerb.class,
