The age of a check counts from its begin: a process is often stopped at the end of a system call

Cause: signals take effect at the return from a system call, so the read that looks into the client's socket is a likely place. The time of the check was taken after it: the stall lay within the check, and the check counted as fresh. The check that is repeated before the write was not looked at again either.

Evidence: stallWithinTheCheckIsFoundBeforeTheWrite, a client that leaves while the process stands within the look, failed (OK in place of CANCELLED) and passes.

Change: the time is read first, and the check is repeated until one is fresh.

--- a/core/src/main/java/topazvalve/core/pool/PooledConnection.java
+++ b/core/src/main/java/topazvalve/core/pool/PooledConnection.java
@@ -202,8 +202,9 @@
      * for this connection the process may have been held up, and nothing that happened meanwhile has been read.
      */
     private boolean mayWrite(Attempt<Q, A> attempt) {
-        WritePermission permission = attempt.writePermission();
+        // Read before the check: a process is often stopped at the end of a system call, such as the one in the check.
         permittedAtNanos = System.nanoTime();
+        WritePermission permission = attempt.writePermission();
         return permission == WritePermission.GRANTED || endUnwritten(attempt, permission);
     }
 
@@ -217,15 +218,17 @@
             return true;
         }
         long ageNanos = System.nanoTime() - permittedAtNanos;
-        if (ageNanos <= PERMISSION_VALID_NANOS) {
-            firstWriteDone = true;
-            return true;
-        }
         if (!firstWriteDone && ageNanos > MAX_FIRST_WRITE_DELAY_NANOS) {
             return endUnwritten(attempt, WritePermission.HELD_UP);
         }
         firstWriteDone = true;
-        return mayWrite(attempt);
+        while (ageNanos > PERMISSION_VALID_NANOS) {
+            if (!mayWrite(attempt)) {
+                return false;
+            }
+            ageNanos = System.nanoTime() - permittedAtNanos;
+        }
+        return true;
     }
 
     private boolean endUnwritten(Attempt<Q, A> attempt, WritePermission reason) {
