--- a/simulation/src/main/java/topazvalve/simulation/real/ClientRequest.java
+++ b/simulation/src/main/java/topazvalve/simulation/real/ClientRequest.java
@@ -26,6 +26,8 @@
     private static final byte[] BODY = "x".repeat(BODY_BYTES).getBytes(StandardCharsets.US_ASCII);
     private static final double NANOS_PER_SECOND = 1e9;
     private static final long NANOS_PER_MILLI = 1_000_000;
+    /** How long after the deadline of a client that stays its answer may come, by the protocol page. */
+    private static final long LATE_ANSWER_NANOS = 500_000_000;
     /** How long after its deadline a client that stays closes its connection. */
     private static final long STAY_NANOS = 2_000_000_000L;
     /** How long after its deadline a request is kept, so that late attempts of it are recognised. */
@@ -145,14 +147,19 @@
         finished = true;
         if (generated.staysAfterDeadline()) {
             run.clock().scheduleAt(deadline + STAY_NANOS, this::close);
+            run.clock().scheduleAt(deadline + LATE_ANSWER_NANOS, this::checkAnswered);
         } else {
             close();
+            checkAnswered();
         }
         if (generated.disconnectsEarly()) {
             run.oracle().clientDisconnected(trace, run.elapsed());
         }
-        excuseDelayByStall();
         run.statistics().requestUnanswered(generated.requestClass(), run.sinceStart(firstSentAt));
+    }
+
+    private void checkAnswered() {
+        excuseDelayByStall();
         run.oracle().deadlinePassed(trace, run.elapsed());
     }
 
