--- a/simulation/src/main/java/topazvalve/simulation/real/ClientRequest.java
+++ b/simulation/src/main/java/topazvalve/simulation/real/ClientRequest.java
@@ -145,6 +145,9 @@
             return;
         }
         finished = true;
+        if (generated.disconnectsEarly()) {
+            run.oracle().clientDisconnected(trace, run.elapsed());
+        }
         if (generated.staysAfterDeadline()) {
             run.clock().scheduleAt(deadline + STAY_NANOS, this::close);
             run.clock().scheduleAt(deadline + LATE_ANSWER_NANOS, this::checkAnswered);
@@ -152,9 +155,6 @@
             close();
             checkAnswered();
         }
-        if (generated.disconnectsEarly()) {
-            run.oracle().clientDisconnected(trace, run.elapsed());
-        }
         run.statistics().requestUnanswered(generated.requestClass(), run.sinceStart(firstSentAt));
     }
 
