--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,8 +2,8 @@
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 here=$(CDPATH='' cd -- "$(dirname -- "$0")" && pwd)
 root=$(CDPATH='' cd -- "$here/../.." && pwd)
-work=$(mktemp -d) || exit 2
 [ -d "$root/review/target/classes" ] || { echo "run review/build.sh first" >&2; exit 2; }
+work=$(mktemp -d) || exit 2
 java -Xmx256m -cp "$root/review/target/classes" topazvalve.review.LateCopies "$root" "$work" "$here/record.txt" &
 pid=$!
 trap 'kill $pid 2> /dev/null; wait $pid' INT TERM
