Review: the scripts carry the excuses of SIGKILL and of a held-up client

Cause: case 8 counted a refusal and what SIGKILL finds as cut off, case 7 didn't watch that its client reads steadily, and a script that was itself ended left its case running.

--- a/review/7/Case7.java
+++ b/review/7/Case7.java
@@ -13,10 +13,13 @@
     private static final int READS_PER_SECOND = 10;
     private static final int SLOW_SECONDS = 40;
     private static final int DEADLINE_MILLIS = 2500;
+    /** A client that paused for longer did not read steadily. */
+    private static final long MAX_PAUSE_NANOS = 500_000_000;
 
     private final Bed bed;
     private int whole;
     private int cut;
+    private boolean clientWasHeldUp;
 
     private Case7(Bed bed) {
         this.bed = bed;
@@ -65,7 +68,7 @@
         }
         synchronized (this) {
             bed.record("answers that came whole " + whole + ", cut off " + cut);
-            return whole + cut < CLIENTS ? Bed.COULD_NOT_RUN : cut > 0 ? Bed.BROKEN : Bed.HELD;
+            return whole + cut < CLIENTS || clientWasHeldUp ? Bed.COULD_NOT_RUN : cut > 0 ? Bed.BROKEN : Bed.HELD;
         }
     }
 
@@ -86,7 +89,7 @@
             while (bytes < ANSWER_BYTES) {
                 long now = System.nanoTime();
                 boolean slow = bed.trouble && now - startNanos < SLOW_SECONDS * 1_000_000_000L;
-                longestPauseNanos = Math.max(longestPauseNanos, now - lastReadNanos);
+                longestPauseNanos = slow ? Math.max(longestPauseNanos, now - lastReadNanos) : longestPauseNanos;
                 lastReadNanos = now;
                 int count;
                 try {
@@ -106,6 +109,7 @@
                 }
             }
             synchronized (this) {
+                clientWasHeldUp |= longestPauseNanos > MAX_PAUSE_NANOS;
                 whole += bytes == ANSWER_BYTES ? 1 : 0;
                 cut += bytes == ANSWER_BYTES ? 0 : 1;
             }
--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -19,6 +19,8 @@
     private final AtomicInteger piecesCutOff = new AtomicInteger();
     private int whole;
     private int cut;
+    private int notServed;
+    private volatile boolean killed;
 
     private Case8(Bed bed) {
         this.bed = bed;
@@ -69,6 +71,7 @@
                     ? "the sidecar ended by itself " + (bed.millis() - termMillis) + " ms after SIGTERM"
                     : "the sidecar still ran when SIGKILL was due");
             if (!ended) {
+                killed = true;
                 sidecar.signal("KILL");
             }
         }
@@ -77,9 +80,11 @@
         }
         Thread.sleep(500);
         synchronized (this) {
-            bed.record("answers that came whole " + whole + ", cut off " + cut + "; pieces that order servers still gave "
+            bed.record("answers that came whole " + whole + ", cut off " + cut + ", not served " + notServed + "; pieces that order servers still gave "
                     + piecesCutOff.get());
-            return whole + cut < CLIENTS ? Bed.COULD_NOT_RUN : cut > 0 ? Bed.BROKEN : Bed.HELD;
+            // What SIGKILL finds of requests that came before SIGTERM is excused; only the sidecar's own end is not.
+            boolean broken = cut > 0 && !killed;
+            return whole + cut == 0 ? Bed.COULD_NOT_RUN : broken ? Bed.BROKEN : Bed.HELD;
         }
     }
 
@@ -90,7 +95,9 @@
             long sentMillis = bed.millis();
             Client.Answer answer = client.readAnswer();
             synchronized (this) {
-                if (answer.whole() && answer.status() == 200) {
+                if (answer.status() != 200) {
+                    notServed++; // refused or failed: a final answer, or none; this case looks at answers that have begun
+                } else if (answer.whole()) {
                     whole++;
                 } else {
                     cut++;
--- a/review/common-2/Bed.java
+++ b/review/common-2/Bed.java
@@ -51,7 +51,7 @@
     static void main(String[] args, Case body) {
         int status = COULD_NOT_RUN;
         try (Bed bed = new Bed(Path.of(args[0]))) {
-            Runtime.getRuntime().addShutdownHook(new Thread(bed::endProcesses));
+            Runtime.getRuntime().addShutdownHook(new Thread(bed::abandon));
             try {
                 status = body.run(bed);
             } catch (Exception e) {
@@ -173,6 +173,22 @@
         }
     }
 
+    /** Ends all processes and deletes the temporary folder of a case that is itself ended. */
+    private void abandon() {
+        endProcesses();
+        try {
+            deleteFolder();
+        } catch (IOException e) {
+            System.err.println(e);
+        }
+    }
+
+    private void deleteFolder() throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+        }
+    }
+
     private void endProcesses() {
         processes.forEach(sidecar -> sidecar.process.destroyForcibly());
     }
@@ -193,8 +209,6 @@
             }
         }
         Files.write(caseFolder.resolve("record.txt"), lines);
-        try (Stream<Path> files = Files.walk(folder)) {
-            files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
-        }
+        deleteFolder();
     }
 }
